--- a/src/jujubetiller/codes/_code_table.py
+++ b/src/jujubetiller/codes/_code_table.py
@@ -267,6 +267,20 @@
         True,
         "The request kind is non-idempotent, and the call carries no key.",
     ),
+    (
+        _Code.NO_ROUTE,
+        _NOT_RUN,
+        404,
+        False,
+        "No route of the configuration in force has this host and path.",
+    ),
+    (
+        _Code.BAD_ITEM,
+        _NOT_RUN,
+        400,
+        False,
+        "A published item has a wrong field; the last good state holds.",
+    ),
 )
 
 CODE_TABLE: dict[_result_code.ResultCode, _code_entry.CodeEntry] = {
--- a/src/jujubetiller/codes/_result_code.py
+++ b/src/jujubetiller/codes/_result_code.py
@@ -61,3 +61,5 @@
     BAD_RECORD = 412
     BAD_CONTEXT = 413
     KEY_REQUIRED = 414
+    NO_ROUTE = 415
+    BAD_ITEM = 416
--- /dev/null
+++ b/src/jujubetiller/command/_mesh.py
@@ -0,0 +1,43 @@
+"""The ``mesh`` command."""
+
+import importlib
+import os
+import pathlib
+
+import result
+
+from jujubetiller import codes
+from jujubetiller.command import _output
+
+
+def mesh(*, settings: str = "") -> int:
+    """Run a node on the users' platform until it is told to stop.
+
+    :param settings: the settings file; by default the one that the environment
+        variable JUJUBETILLER_CONFIG names
+    """
+    # The other commands need neither the modules nor their start time.
+    platform = importlib.import_module("jujubetiller.platform")
+    name = settings or os.environ.get(platform.SETTINGS_VARIABLE, "")
+    if not name:
+        message = f"allowed is a file, or a path in {platform.SETTINGS_VARIABLE}"
+        return _output.report(
+            codes.Problem(codes.ResultCode.BAD_COMMAND, "settings", message)
+        )
+    content = _output.read_file(name)
+    if isinstance(content, result.Err):
+        return _output.report(content.err_value)
+    loaded = platform.load_settings(content.ok_value)
+    if isinstance(loaded, result.Err):
+        return _output.report(loaded.err_value)
+    module = importlib.import_module("jujubetiller.mesh")
+    return int(
+        module.run(
+            pathlib.Path(name),
+            platform.load_settings,
+            loaded.ok_value,
+            platform.HEADERS,
+            platform.PlatformDecoder(),
+            platform.StoreReader,
+        )
+    )
--- a/src/jujubetiller/command/_run.py
+++ b/src/jujubetiller/command/_run.py
@@ -9,6 +9,7 @@
     _check_settings,
     _check_ticket,
     _explain,
+    _mesh,
     _node,
     _output,
     _status,
@@ -17,6 +18,7 @@
 
 COMMANDS: dict[str, Callable[..., int]] = {
     "node": _node.node,
+    "mesh": _mesh.mesh,
     "check-settings": _check_settings.check_settings,
     "check-ticket": _check_ticket.check_ticket,
     "status": _status.status,
--- a/src/jujubetiller/frames/_call.py
+++ b/src/jujubetiller/frames/_call.py
@@ -22,6 +22,7 @@
     ("depth", _rules.COUNT),
     ("attempt", _whole_number.WholeNumber(1, 2**31)),
     ("key", _rules.KEY),
+    ("expected_instance", _rules.NAME),
 )
 _REQUEST_NAMES = tuple(name for name, _ in _REQUEST_FIELDS)
 _REQUEST_COUNT = len(_REQUEST_NAMES)
--- a/src/jujubetiller/limits/__init__.py
+++ b/src/jujubetiller/limits/__init__.py
@@ -10,6 +10,7 @@
 from jujubetiller.limits._fixed_limit_policy import FixedLimitPolicy
 from jujubetiller.limits._gradient_limit_policy import GradientLimitPolicy
 from jujubetiller.limits._guard_entry import EntryState, GuardEntry
+from jujubetiller.limits._guard_timer import GuardTimer
 from jujubetiller.limits._latency_sample import LatencySample
 from jujubetiller.limits._limit_policy import LimitPolicy
 from jujubetiller.limits._priority_queue_order import PriorityQueueOrder
@@ -28,6 +29,7 @@
     "FixedLimitPolicy",
     "GradientLimitPolicy",
     "GuardEntry",
+    "GuardTimer",
     "LatencySample",
     "LimitPolicy",
     "PriorityQueueOrder",
--- a/src/jujubetiller/node/_guard_timer.py
+++ b/src/jujubetiller/limits/_guard_timer.py
@@ -2,7 +2,8 @@
 
 from typing import Any
 
-from jujubetiller import clock, limits
+from jujubetiller import clock
+from jujubetiller.limits import _target_guard
 
 TICK_MS = 5.0
 """The shortest pause between two looks at the queue."""
@@ -15,7 +16,7 @@
     """
 
     def __init__(
-        self, reactor: Any, time_source: clock.Clock, guard: limits.TargetGuard
+        self, reactor: Any, time_source: clock.Clock, guard: _target_guard.TargetGuard
     ) -> None:
         self.reactor = reactor
         self.clock = time_source
--- /dev/null
+++ b/src/jujubetiller/mesh/_drain.py
@@ -0,0 +1,79 @@
+"""The planned stop of a node."""
+
+import logbook
+from twisted.internet import defer, interfaces
+
+from jujubetiller import edge
+from jujubetiller.mesh import _mesh_parts
+
+_LOG = logbook.Logger("jujubetiller.mesh")
+
+LISTEN_MS = 3_000.0
+"""New requests are taken for this long: clients learn of the stop from two failed
+questions for readiness, a second apart."""
+
+END_MARGIN_MS = 400.0
+"""The process ends this long before it would be killed."""
+
+POLL_MS = 20.0
+
+
+class Drain:
+    """Tells peers, lets every request in flight end, and closes the node."""
+
+    def __init__(
+        self,
+        parts: _mesh_parts.MeshParts,
+        ports: dict[str, interfaces.IListeningPort],
+        edges: dict[str, edge.EdgeFactory],
+    ) -> None:
+        self.parts = parts
+        self.ports = ports
+        self.edges = edges
+        self.finished: defer.Deferred[int] = defer.Deferred()
+        self.started_at_ms = 0.0
+        self.is_listening = True
+
+    def start(self) -> None:
+        """Announce the stop; requests of clients are still taken for a while."""
+        _LOG.info("draining", extra={"in_flight": self.count_in_flight()})
+        self.started_at_ms = self.parts.clock.now_ms()
+        self.parts.state.draining = True
+        self.parts.pool.announce_draining()
+        self.poll()
+
+    def count_in_flight(self) -> int:
+        """Return the requests that entered here and the calls for the target."""
+        guard = self.parts.guard
+        under_way = self.parts.state.requests_under_way
+        return under_way + guard.in_flight + guard.queue_length
+
+    def poll(self) -> None:
+        """Close the node once nothing is in flight or the time is over."""
+        elapsed_ms = self.parts.clock.now_ms() - self.started_at_ms
+        if elapsed_ms >= LISTEN_MS and self.is_listening:
+            self.stop_listening()
+        in_flight = self.count_in_flight()
+        is_overdue = elapsed_ms >= self.parts.settings.grace_ms - END_MARGIN_MS
+        if is_overdue or (in_flight == 0 and not self.is_listening):
+            self.close(in_flight)
+        else:
+            self.parts.reactor.callLater(POLL_MS / 1000.0, self.poll)
+
+    def stop_listening(self) -> None:
+        """Take no new connections of clients and close those without a request."""
+        self.is_listening = False
+        self.ports["egress"].stopListening()
+        for channel in tuple(self.edges["egress"].channels):
+            if not channel.requests:
+                channel.loseConnection()  # type: ignore[no-untyped-call]
+
+    def close(self, left_over: int) -> None:
+        """Close the streams and report what did not finish."""
+        if left_over:
+            self.parts.metrics.count_drain_leftovers(left_over)
+            _LOG.warning("drain time is over", extra={"in_flight": left_over})
+        self.parts.target.close()
+        self.parts.pool.abort()
+        _LOG.info("stopped", extra={"in_flight": left_over})
+        self.finished.callback(left_over)
--- /dev/null
+++ b/src/jujubetiller/mesh/_ingress_call.py
@@ -0,0 +1,126 @@
+"""One call on its way to the instance beside the node."""
+
+from collections.abc import Callable
+
+from jujubetiller import calls, codes, limits, target
+from jujubetiller.mesh import _mesh_parts
+
+_Code = codes.ResultCode
+
+SUCCESS_STATUSES = range(200, 300)
+MISDIRECTED_STATUS = 421
+LEAST_DEADLINE_MS = 1
+
+
+class IngressCall:
+    """Runs one call at the target and replies once."""
+
+    __slots__ = ("deadline", "entry", "parts", "reply", "request", "target_call")
+
+    def __init__(
+        self,
+        parts: _mesh_parts.MeshParts,
+        request: calls.CallRequest,
+        reply: Callable[[calls.CallAnswer], None],
+    ) -> None:
+        self.parts = parts
+        self.request = request
+        self.reply: Callable[[calls.CallAnswer], None] | None = reply
+        self.deadline = calls.Deadline.after(parts.clock, request.deadline_left_ms)
+        self.target_call: target.TargetCall | None = None
+        self.entry = limits.GuardEntry(
+            rank=request.rank,
+            depth=request.depth,
+            deadline=self.deadline,
+            start=self.start,
+            refuse=self.refuse,
+            kind=request.kind,
+        )
+
+    def begin(self) -> None:
+        """Hand the call to the guard."""
+        self.parts.guard.submit(self.entry)
+        if self.parts.guard.queue_length:
+            self.parts.guard_timer.arm()
+
+    def start(self) -> None:
+        """Send the call to the target."""
+        request = self.request
+        names = self.parts.headers
+        request_id = find_header(request.headers, names.request_id)
+        left_ms = max(LEAST_DEADLINE_MS, int(self.deadline.left_ms(self.parts.clock)))
+        headers = (
+            *request.headers,
+            (names.deadline_ms, str(left_ms)),
+            (names.expected_instance, request.expected_instance),
+        )
+        self.target_call = self.parts.target.send(
+            target.TargetRequest(
+                method=request.method,
+                path=request.path,
+                headers=headers,
+                body=request.body,
+                deadline=self.deadline,
+                echo=None if request_id is None else (names.request_id, request_id),
+            ),
+            self.target_ended,
+        )
+
+    def target_ended(self, response: target.TargetResponse) -> None:
+        """Turn the end of the request at the target into an answer."""
+        code = self.classify(response)
+        self.parts.guard.finished(self.entry, code is _Code.ANSWERED)
+        answer = calls.CallAnswer(
+            outcome=codes.describe(code).outcome,
+            code=code,
+            pressure=self.parts.guard.pressure_level(),
+            pressure_service=self.request.service,
+        )
+        if code is _Code.ANSWERED:
+            answer.status = response.status
+            answer.headers = response.headers
+            answer.body = response.body
+        self.answer_with(answer)
+
+    def classify(self, response: target.TargetResponse) -> codes.ResultCode:
+        """Return what the response says about the run of the request."""
+        if response.code is not _Code.ANSWERED:
+            return response.code
+        if find_header(response.headers, self.parts.headers.not_run) is not None:
+            if response.status == MISDIRECTED_STATUS:
+                return _Code.WRONG_SERVICE
+            return _Code.TARGET_SHED
+        if response.status == MISDIRECTED_STATUS:
+            return _Code.WRONG_SERVICE
+        receipt = find_header(response.headers, self.parts.headers.receipt)
+        if receipt is None and response.status in SUCCESS_STATUSES:
+            return _Code.ANSWER_INCOMPLETE
+        return _Code.ANSWERED
+
+    def refuse(self, code: codes.ResultCode) -> None:
+        """End the call, which the guard refused before it ran."""
+        refusal = calls.make_refusal(code)
+        refusal.pressure = self.parts.guard.pressure_level()
+        refusal.pressure_service = self.request.service
+        self.answer_with(refusal)
+
+    def answer_with(self, answer: calls.CallAnswer) -> None:
+        """Reply once; after a cancel there is nobody to reply to."""
+        reply, self.reply = self.reply, None
+        if reply is not None:
+            reply(answer)
+
+    def cancel(self) -> None:
+        """Stop the call of a caller that no longer waits."""
+        self.reply = None
+        if not self.parts.guard.cancel(self.entry) and self.target_call is not None:
+            self.target_call.cancel()
+            self.parts.guard.abandoned(self.entry)
+
+
+def find_header(headers: tuple[tuple[str, str], ...], name: str) -> str | None:
+    """Return the value of the first header ``name``, given in lower case."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
--- /dev/null
+++ b/src/jujubetiller/mesh/_instance_directory.py
@@ -0,0 +1,153 @@
+"""The instances that a node may send requests to."""
+
+from collections.abc import Callable
+
+import attrs
+import logbook
+import result
+
+from jujubetiller import published, routing, settings
+
+_LOG = logbook.Logger("jujubetiller.mesh")
+
+
+@attrs.define
+class _Listed:
+    """An instance and the change that last described it."""
+
+    instance: published.PublishedInstance
+    revision: int
+    is_replaced: bool = False
+    """Whether a later instance listens at the same address."""
+
+
+class InstanceDirectory:
+    """Follows the published instances and tells the router.
+
+    While ``is_settled`` returns False, removals wait: entries lapse while the
+    store is away although their instances live, and they come back soon after.
+    """
+
+    def __init__(
+        self,
+        decoder: published.ItemDecoder,
+        router: routing.Router,
+        own_address: settings.Address,
+        peer_port: int,
+        is_settled: Callable[[], bool],
+    ) -> None:
+        self.decoder = decoder
+        self.router = router
+        self.own_address = own_address
+        self.peer_port = peer_port
+        self.is_settled = is_settled
+        self.listed: dict[str, _Listed] = {}
+        self.removals: dict[str, int] = {}
+        """Revisions of the removals that wait, by instance."""
+
+        self.rejected = 0
+
+    def take(self, items: list[published.PublishedItem]) -> None:
+        """Take in changed items."""
+        changed = False
+        for item in items:
+            name = self.decoder.instance_of(item.key)
+            if name is not None:
+                self._take_item(name, item)
+                changed = True
+        if changed:
+            self._find_replaced()
+            self.apply_removals()
+            self._tell_router()
+
+    def apply_removals(self) -> None:
+        """Carry out the removals that waited, once the store has settled."""
+        if not self.removals or not self.is_settled():
+            return
+        for name in self.removals:
+            self.listed.pop(name, None)
+            _LOG.info("instance removed", extra={"instance": name})
+        self.removals = {}
+        self._tell_router()
+
+    def own(self) -> published.PublishedInstance | None:
+        """Return the instance beside the node, if it is listed."""
+        for listed in self.listed.values():
+            instance = listed.instance
+            if instance.address == self.own_address and not listed.is_replaced:
+                return instance
+        return None
+
+    def peers(self) -> list[settings.Address]:
+        """Return the addresses of the other nodes, in a fixed order."""
+        hosts = {
+            listed.instance.address.host
+            for listed in self.listed.values()
+            if listed.instance.address != self.own_address
+        }
+        return [settings.Address(host, self.peer_port) for host in sorted(hosts)]
+
+    def _take_item(self, name: str, item: published.PublishedItem) -> None:
+        if item.value is None:
+            self.removals[name] = item.revision
+            return
+        decoded = self.decoder.decode_instance(item)
+        if isinstance(decoded, result.Err):
+            # An entry of another writer names no instance to use.
+            self.rejected += 1
+            self.listed.pop(name, None)
+            _LOG.warning("instance rejected: {}", decoded.err_value)
+            return
+        self.removals.pop(name, None)
+        known = self.listed.get(name)
+        if known is None or known.instance.draining != decoded.ok_value.draining:
+            _LOG.info(
+                "instance listed",
+                extra={
+                    "instance": name,
+                    "service": decoded.ok_value.service,
+                    "zone": decoded.ok_value.zone,
+                    "draining": decoded.ok_value.draining,
+                    "revision": item.revision,
+                },
+            )
+        self.listed[name] = _Listed(decoded.ok_value, item.revision)
+
+    def _find_replaced(self) -> None:
+        """Note which of the instances at one address is the last to have come."""
+        newest: dict[settings.Address, _Listed] = {}
+        for listed in self.listed.values():
+            address = listed.instance.address
+            other = newest.get(address)
+            if other is None or _came_later(listed, other):
+                newest[address] = listed
+        for listed in self.listed.values():
+            listed.is_replaced = newest[listed.instance.address] is not listed
+
+    def _tell_router(self) -> None:
+        self.router.update_instances(
+            make_routable(listed, self.peer_port) for listed in self.listed.values()
+        )
+
+
+def _came_later(listed: _Listed, other: _Listed) -> bool:
+    """Return whether ``listed`` came to the address after ``other``."""
+    return (listed.instance.born_ms, listed.revision) > (
+        other.instance.born_ms,
+        other.revision,
+    )
+
+
+def make_routable(listed: _Listed, peer_port: int) -> routing.RoutableInstance:
+    """Return what routing must know about a listed instance."""
+    instance = listed.instance
+    return routing.RoutableInstance(
+        instance=instance.instance,
+        service=instance.service,
+        zone=instance.zone,
+        host=instance.address.host,
+        peer_port=peer_port,
+        incarnation=instance.born_ms,
+        boot_id=str(instance.born_ms),
+        leaving=instance.draining or listed.is_replaced,
+    )
--- /dev/null
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -0,0 +1,235 @@
+"""A node with its listeners."""
+
+import functools
+import random
+import uuid
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import logbook
+from twisted.internet import defer, interfaces
+
+from jujubetiller import (
+    clock,
+    edge,
+    limits,
+    metrics,
+    published,
+    routing,
+    settings,
+    streams,
+    target,
+)
+from jujubetiller.mesh import (
+    _configuration_in_force,
+    _drain,
+    _egress_site,
+    _header_names,
+    _instance_directory,
+    _mesh_parts,
+    _mesh_state,
+    _peer_calls,
+    _repeat_budget,
+    _settling,
+    _state_exchange,
+    _status_sites,
+)
+
+_LOG = logbook.Logger("jujubetiller.mesh")
+
+HOUSEKEEPING_MS = 250.0
+
+SourceFactory = Callable[[published.PublishedState], published.ItemSource]
+
+
+class MeshNode:
+    """Serves clients, peers and its own target.
+
+    ``start`` opens the listeners; ``drain`` ends the node without cutting off a
+    request.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        time_source: clock.Clock,
+        random_source: random.Random,
+        node_settings: settings.MeshSettings,
+        headers: _header_names.HeaderNames,
+        decoder: published.ItemDecoder,
+        make_source: SourceFactory,
+    ) -> None:
+        self.reactor = reactor
+        self.settings = node_settings
+        self.boot_id = uuid.UUID(int=random_source.getrandbits(128), version=4).hex
+        self.state = published.PublishedState()
+        self.source = make_source(self.state)
+        self.settling = _settling.Settling(
+            time_source,
+            self.source,
+            float(
+                node_settings.store.watch_wait_ms
+                + node_settings.store.answer_timeout_ms
+            ),
+        )
+        self.parts = self._build_parts(time_source, random_source, headers, decoder)
+        self.exchange = _state_exchange.StateExchange(
+            self.parts, self.state, self.settling, self.own_peer_address
+        )
+        self.ports: dict[str, interfaces.IListeningPort] = {}
+        self.edges: dict[str, edge.EdgeFactory] = {}
+        self.draining: _drain.Drain | None = None
+
+    def _build_parts(
+        self,
+        time_source: clock.Clock,
+        random_source: random.Random,
+        headers: _header_names.HeaderNames,
+        decoder: published.ItemDecoder,
+    ) -> _mesh_parts.MeshParts:
+        node_settings = self.settings
+        router = routing.Router(
+            time_source, random_source, node_settings.routing, node_settings.zone
+        )
+        guard = limits.build_guard(time_source, node_settings.limits)
+        return _mesh_parts.MeshParts(
+            reactor=self.reactor,
+            clock=time_source,
+            random=random_source,
+            settings=node_settings,
+            headers=headers,
+            state=_mesh_state.MeshState(),
+            configuration=_configuration_in_force.ConfigurationInForce(
+                decoder, node_settings.node
+            ),
+            directory=_instance_directory.InstanceDirectory(
+                decoder,
+                router,
+                node_settings.target.address,
+                node_settings.listen.peer.port,
+                self.settling.is_settled,
+            ),
+            router=router,
+            guard=guard,
+            guard_timer=limits.GuardTimer(self.reactor, time_source, guard),
+            target=target.TargetClient(self.reactor, time_source, node_settings.target),
+            budget=_repeat_budget.RepeatBudget(time_source, node_settings.repeats),
+            metrics=metrics.NodeMetrics(),
+        )
+
+    def start(self) -> None:
+        """Open the listeners and start to read the store.
+
+        Raises ``twisted.internet.error.CannotListenError`` when an address is
+        taken.
+        """
+        parts = self.parts
+        peer_calls = _peer_calls.PeerCalls(parts)
+        peer_calls.exchange = self.exchange
+        parts.pool = streams.StreamPool(
+            self.reactor,
+            parts.clock,
+            self.settings.streams,
+            self.describe_self,
+            peer_calls,
+        )
+        self.state.observers.append(parts.configuration.take)
+        self.state.observers.append(self.take_instances)
+        self.ports["peer"] = parts.pool.listen(self.settings.listen.peer)
+        self.listen("egress", _egress_site.EgressSite(parts))
+        for name, make_reply in (
+            ("readiness", _status_sites.make_readiness),
+            ("metrics", _status_sites.make_metrics),
+        ):
+            site = _status_sites.StatusSite(functools.partial(make_reply, parts))
+            self.listen(name, site)
+        self.source.start()
+        self.exchange.start()
+        self.keep_house()
+        _LOG.info(
+            "started",
+            extra={
+                "node": self.settings.node,
+                "service": self.settings.service,
+                "zone": self.settings.zone,
+            },
+        )
+
+    def listen(self, name: str, handler: edge.EdgeHandler) -> None:
+        """Open an HTTP listener with a bound on its connections."""
+        factory = edge.EdgeFactory(
+            self.reactor,
+            self.parts.clock,
+            handler,
+            self.settings.streams.max_body_bytes,
+            self.settings.limits.max_connections,
+        )
+        self.edges[name] = factory
+        address = getattr(self.settings.listen, name)
+        self.ports[name] = self.reactor.listenTCP(
+            address.port, factory, interface=address.host
+        )
+
+    def own_peer_address(self) -> settings.Address:
+        """Return the address that peers reach, with the port in use."""
+        port = self.ports["peer"].getHost().port  # type: ignore[attr-defined]
+        return settings.Address(self.settings.listen.peer.host, port)
+
+    def describe_self(self) -> streams.PeerIdentity:
+        """Return what this node says about itself to its peers."""
+        address = self.own_peer_address()
+        return streams.PeerIdentity(
+            instance=self.settings.node,
+            service=self.settings.service,
+            zone=self.settings.zone,
+            host=address.host,
+            peer_port=address.port,
+            incarnation=1,
+            boot_id=self.boot_id,
+            key_epoch=0,
+            draining=self.parts.state.draining,
+            state_digest=b"",
+        )
+
+    def take_instances(self, items: list[published.PublishedItem]) -> None:
+        """Take in changed instances and follow the slots of the own one."""
+        self.parts.directory.take(items)
+        own = self.parts.directory.own()
+        if own is not None and own.slots != self.parts.guard.slots:
+            self.parts.guard.set_slots(own.slots)
+
+    def keep_house(self) -> None:
+        """Carry out removals that waited for the store to settle."""
+        self.parts.directory.apply_removals()
+        self.reactor.callLater(HOUSEKEEPING_MS / 1000.0, self.keep_house)
+
+    def reload(self, node_settings: settings.MeshSettings) -> None:
+        """Follow changed settings; listeners stay where they are."""
+        changed = [
+            field.name
+            for field in attrs.fields(settings.MeshSettings)
+            if getattr(self.settings, field.name) != getattr(node_settings, field.name)
+        ]
+        _LOG.info("settings reloaded", extra={"changed": changed})
+        self.settings = node_settings
+        self.parts.settings = node_settings
+        self.parts.target.settings = node_settings.target
+        self.parts.directory.own_address = node_settings.target.address
+        self.parts.budget.settings = node_settings.repeats
+
+    def drain(self) -> "defer.Deferred[int]":
+        """Shut down without cutting off a request; a second call changes nothing.
+
+        The result is the number of requests that had not ended in time.
+        """
+        if self.draining is None:
+            self.draining = _drain.Drain(self.parts, self.ports, self.edges)
+            self.draining.start()
+            self.draining.finished.addCallback(self._stop_reading)
+        return self.draining.finished
+
+    def _stop_reading(self, left_over: int) -> int:
+        self.source.stop()
+        self.exchange.stop()
+        return left_over
--- /dev/null
+++ b/src/jujubetiller/mesh/_mesh_parts.py
@@ -0,0 +1,40 @@
+"""The parts that the calls of a node share."""
+
+import random
+from typing import Any
+
+import attrs
+
+from jujubetiller import clock, limits, metrics, routing, settings, streams, target
+from jujubetiller.mesh import (
+    _configuration_in_force,
+    _header_names,
+    _instance_directory,
+    _mesh_state,
+    _repeat_budget,
+)
+
+
+@attrs.define
+class MeshParts:
+    """One of each part; ``pool`` is set when the node starts."""
+
+    reactor: Any
+    clock: clock.Clock
+    random: random.Random
+    settings: settings.MeshSettings
+    headers: _header_names.HeaderNames
+    state: _mesh_state.MeshState
+    configuration: _configuration_in_force.ConfigurationInForce
+    directory: _instance_directory.InstanceDirectory
+    router: routing.Router
+    guard: limits.TargetGuard
+    guard_timer: limits.GuardTimer
+    target: target.TargetClient
+    budget: _repeat_budget.RepeatBudget
+    metrics: metrics.NodeMetrics
+    pool: streams.StreamPool = attrs.field(init=False)
+
+    def is_ready(self) -> bool:
+        """Return whether the node knows enough to serve requests."""
+        return self.configuration.current is not None and bool(self.directory.listed)
--- /dev/null
+++ b/src/jujubetiller/mesh/_peer_calls.py
@@ -0,0 +1,57 @@
+"""What a node does with messages of its peers."""
+
+from collections.abc import Callable
+
+from jujubetiller import calls, codes, frames, streams
+from jujubetiller.mesh import _ingress_call, _mesh_parts, _state_exchange
+
+
+class PeerCalls(streams.StreamHandler):
+    """Runs calls of peers at the target and answers comparisons of state."""
+
+    exchange: _state_exchange.StateExchange
+    """Set before the first listener is open."""
+
+    def __init__(self, parts: _mesh_parts.MeshParts) -> None:
+        self.parts = parts
+
+    def handle_call(
+        self,
+        request: calls.CallRequest,
+        reply: Callable[[calls.CallAnswer], None],
+    ) -> Callable[[], None]:
+        """Run a call at the node's own target."""
+        if request.service == _state_exchange.STATE_SERVICE:
+            reply(self.exchange.answer(request))
+            return _do_nothing
+        if request.service != self.parts.settings.service:
+            reply(calls.make_refusal(codes.ResultCode.WRONG_SERVICE))
+            return _do_nothing
+        call = _ingress_call.IngressCall(self.parts, request, reply)
+        call.begin()
+        return call.cancel
+
+    def handle_seal(self, key: str, reply: Callable[[bool], None]) -> None:
+        """Confirm nothing: there are no execution keys."""
+        reply(False)
+
+    def handle_control(
+        self,
+        peer: streams.PeerIdentity,
+        message: frames.Digest | frames.Pull | frames.Push,
+        reply: Callable[[frames.Digest | frames.Pull | frames.Push], None],
+    ) -> None:
+        """Ignore messages about tickets, which do not exist here."""
+
+    def peer_connected(self, peer: streams.PeerIdentity) -> None:
+        """Learn of a stream; calls show whether the instance answers."""
+
+    def peer_lost(self, peer: streams.PeerIdentity, reason: str) -> None:
+        """Learn of the end of a stream; calls on it end by themselves."""
+
+    def peer_draining(self, peer: streams.PeerIdentity) -> None:
+        """Learn that a peer stops; the stream refuses further calls to it."""
+
+
+def _do_nothing() -> None:
+    """Stand in for the cancel function of an answered call."""
--- /dev/null
+++ b/src/jujubetiller/mesh/_run.py
@@ -0,0 +1,73 @@
+"""Running a node as a process."""
+
+import gc
+import pathlib
+import random
+import secrets
+import signal
+import sys
+from typing import Any
+
+import logbook
+from twisted.internet import error, reactor as installed_reactor
+
+from jujubetiller import clock, logs, published, settings
+from jujubetiller.mesh import _header_names, _mesh_node, _settings_file
+
+_LOG = logbook.Logger("jujubetiller.mesh")
+
+SEED_BITS = 256
+
+GC_THRESHOLDS = (50_000, 20, 100)
+"""A full collection stops the loop for several milliseconds. What lives for the
+whole run is frozen after the start, and calls leave few cycles behind."""
+
+
+def run(
+    path: pathlib.Path,
+    load: _settings_file.Loader,
+    node_settings: settings.MeshSettings,
+    headers: _header_names.HeaderNames,
+    decoder: published.ItemDecoder,
+    make_source: Any,
+) -> int:
+    """Run a node until SIGTERM or SIGINT and return its exit status.
+
+    ``make_source`` gets the reactor, the clock, the random source, the store's
+    settings and the state that it feeds. Logs go to standard output.
+    """
+    twisted_reactor: Any = installed_reactor
+    system_clock = clock.SystemClock()
+    logs.start_logging(node_settings.logs, system_clock, sys.stdout)
+    # Seeded by the operating system; SystemRandom would ask it for each number.
+    random_source = random.Random(secrets.randbits(SEED_BITS))
+    node = _mesh_node.MeshNode(
+        twisted_reactor,
+        system_clock,
+        random_source,
+        node_settings,
+        headers,
+        decoder,
+        lambda state: make_source(
+            twisted_reactor, system_clock, random_source, node_settings.store, state
+        ),
+    )
+    try:
+        node.start()
+    except error.CannotListenError as failure:
+        _LOG.error("cannot listen on {}:{}", failure.interface, failure.port)
+        return 1
+    settings_file = _settings_file.SettingsFile(
+        twisted_reactor, path, load, node.reload
+    )
+    settings_file.start()
+    signal.signal(
+        signal.SIGHUP,
+        lambda *_: twisted_reactor.callFromThread(settings_file.look),
+    )
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+    twisted_reactor.addSystemEventTrigger("before", "shutdown", node.drain)
+    twisted_reactor.run()
+    return 0
--- /dev/null
+++ b/src/jujubetiller/mesh/_status_sites.py
@@ -0,0 +1,54 @@
+"""The listeners for readiness and metrics."""
+
+from collections.abc import Callable
+
+from jujubetiller import codes, edge
+from jujubetiller.mesh import _mesh_parts
+
+_METRICS_TYPE = ("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+_JSON_TYPE = ("Content-Type", "application/json")
+
+
+class StatusSite(edge.EdgeHandler):
+    """Gives the same kind of answer on every path."""
+
+    def __init__(self, make_reply: Callable[[], edge.EdgeReply]) -> None:
+        self.make_reply = make_reply
+
+    def is_draining(self) -> bool:
+        """Return False: the platform asks again over the same connection."""
+        return False
+
+    def refuse(self, code: codes.ResultCode, detail: str) -> edge.EdgeReply:
+        """Return the answer for a request that is not one."""
+        return edge.EdgeReply(400, [], f"{code.value} {detail}\n".encode())
+
+    def handle(
+        self,
+        message: edge.EdgeMessage,
+        reply: Callable[[edge.EdgeReply], None],
+    ) -> Callable[[], None]:
+        """Answer at once."""
+        reply(self.make_reply())
+        return _do_nothing
+
+
+def _do_nothing() -> None:
+    """Stand in for the cancel function of an answered request."""
+
+
+def make_readiness(parts: _mesh_parts.MeshParts) -> edge.EdgeReply:
+    """Return 200, or 503 with the code that a request would get."""
+    code = codes.ResultCode.ANSWERED
+    if parts.state.draining:
+        code = codes.ResultCode.DRAINING
+    elif not parts.is_ready():
+        code = codes.ResultCode.NOT_READY
+    is_ready = code is codes.ResultCode.ANSWERED
+    body = f'{{"ready": {str(is_ready).lower()}, "reason": "{code.name}"}}\n'
+    return edge.EdgeReply(200 if is_ready else 503, [_JSON_TYPE], body.encode())
+
+
+def make_metrics(parts: _mesh_parts.MeshParts) -> edge.EdgeReply:
+    """Return all metrics in the text format of Prometheus."""
+    return edge.EdgeReply(200, [_METRICS_TYPE], parts.metrics.render())
--- a/src/jujubetiller/node/_build_parts.py
+++ b/src/jujubetiller/node/_build_parts.py
@@ -18,7 +18,7 @@
     target,
     tickets,
 )
-from jujubetiller.node import _guard_timer, _limits_in_force, _node_parts, _node_state
+from jujubetiller.node import _limits_in_force, _node_parts, _node_state
 
 
 def build_parts(
@@ -82,5 +82,5 @@
         limits_in_force=_limits_in_force.LimitsInForce(
             ticket_state, guard, node_settings.service, node_settings.limits
         ),
-        guard_timer=_guard_timer.GuardTimer(reactor, time_source, guard),
+        guard_timer=limits.GuardTimer(reactor, time_source, guard),
     )
--- a/src/jujubetiller/node/_node_parts.py
+++ b/src/jujubetiller/node/_node_parts.py
@@ -20,7 +20,7 @@
     target,
     tickets,
 )
-from jujubetiller.node import _guard_timer, _limits_in_force, _node_state
+from jujubetiller.node import _limits_in_force, _node_state
 
 
 @attrs.define
@@ -47,6 +47,6 @@
     metrics: metrics.NodeMetrics
     record_signer: records.RecordSigner
     limits_in_force: _limits_in_force.LimitsInForce
-    guard_timer: _guard_timer.GuardTimer
+    guard_timer: limits.GuardTimer
     pool: streams.StreamPool = attrs.field(init=False)
     """Set once the handler of incoming streams exists."""
--- /dev/null
+++ b/src/jujubetiller/platform/_configuration.py
@@ -0,0 +1,93 @@
+"""The configuration as the operator writes it."""
+
+from typing import Any
+
+from jujubetiller import routes, schema
+from jujubetiller.platform import _fields
+
+KEY = "op/config"
+
+_IS_IDEMPOTENT = {"idempotent": True, "non_idempotent": False}
+
+
+def translate_configuration(document: Any) -> routes.Configuration:
+    """Return the configuration in ``document``.
+
+    Raises ``FieldError`` for a missing or wrong field.
+    """
+    listeners = _fields.read(document, "listeners", list)
+    clusters = _fields.read(document, "clusters", list)
+    return routes.Configuration(
+        version=_translate_version(_fields.read_text(document, "version")),
+        routes=tuple(
+            _translate_rule(_fields.read_text(listener, "host"), rule)
+            for listener in listeners
+            for rule in _fields.read(listener, "rules", list)
+        ),
+        services=frozenset(_fields.read_text(each, "name") for each in clusters),
+        bounds=_translate_limits(_fields.read(document, "limits", dict, {})),
+    )
+
+
+def _translate_version(text: str) -> int:
+    try:
+        return int(text, 16)
+    except ValueError:
+        raise schema.FieldError(
+            "version", f"allowed are hexadecimal digits, got {text!r}"
+        ) from None
+
+
+def _translate_rule(host: str, rule: Any) -> routes.Route:
+    action = _fields.read(rule, "action", dict)
+    prefix = _fields.read_text(_fields.read(rule, "match", dict), "prefix")
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        raise schema.FieldError("prefix", "it must begin and end with a slash")
+    kind = _fields.read_text(rule, "kind")
+    if kind not in _IS_IDEMPOTENT:
+        allowed = ", ".join(_IS_IDEMPOTENT)
+        raise schema.FieldError("kind", f"allowed are {allowed}, got {kind!r}")
+    timeout_ms = _fields.read_duration_ms(action, "timeout")
+    return routes.Route(
+        name=_fields.read_text(rule, "name"),
+        host=host,
+        prefix=prefix,
+        destinations=_translate_destinations(action),
+        idempotent=_IS_IDEMPOTENT[kind],
+        timeout_ms=timeout_ms,
+        latency_objective_ms=_fields.read_duration_ms(
+            rule, "target_latency", timeout_ms
+        ),
+        max_attempts=_fields.read_whole(action, "max_attempts", 1),
+        priority_class=_fields.read_whole(rule, "priority", default=0),
+    )
+
+
+def _translate_destinations(action: Any) -> tuple[routes.Destination, ...]:
+    parts = _fields.read(action, "weighted_services", list, None)
+    if not parts:
+        return (routes.Destination(_fields.read_text(action, "service")),)
+    return tuple(
+        routes.Destination(
+            _fields.read_text(part, "service"), _fields.read_whole(part, "weight")
+        )
+        for part in parts
+    )
+
+
+def _translate_limits(limits: Any) -> routes.RequestBounds:
+    default = routes.RequestBounds()
+    return routes.RequestBounds(
+        max_header_bytes=_fields.read_whole(
+            limits, "max_header_bytes", 1, default.max_header_bytes
+        ),
+        max_body_bytes=_fields.read_whole(
+            limits, "max_body_bytes", 0, default.max_body_bytes
+        ),
+        header_timeout_ms=_fields.read_duration_ms(
+            limits, "header_timeout", default.header_timeout_ms
+        ),
+        idle_timeout_ms=_fields.read_duration_ms(
+            limits, "idle_timeout", default.idle_timeout_ms
+        ),
+    )
--- /dev/null
+++ b/src/jujubetiller/platform/_decoder.py
@@ -0,0 +1,51 @@
+"""The formats of the platform's published items."""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import result
+
+from jujubetiller import codes, published, routes, schema
+from jujubetiller.platform import _configuration, _instances
+
+_Decoded = TypeVar("_Decoded")
+
+
+class PlatformDecoder(published.ItemDecoder):
+    """Decodes the JSON values of the platform's store."""
+
+    def instance_of(self, key: str) -> str | None:
+        """Return the part of the key after the prefix of instances."""
+        if not key.startswith(_instances.PREFIX):
+            return None
+        return key.removeprefix(_instances.PREFIX)
+
+    def is_configuration(self, key: str) -> bool:
+        """Return whether ``key`` is the operator's key."""
+        return key == _configuration.KEY
+
+    def decode_instance(
+        self, item: published.PublishedItem
+    ) -> result.Result[published.PublishedInstance, codes.Problem]:
+        """Return the instance that ``item`` describes."""
+        name = item.key.removeprefix(_instances.PREFIX)
+        return _decode(item, lambda entry: _instances.translate_instance(name, entry))
+
+    def decode_configuration(
+        self, item: published.PublishedItem
+    ) -> result.Result[routes.Configuration, codes.Problem]:
+        """Return the configuration in ``item``."""
+        return _decode(item, _configuration.translate_configuration)
+
+
+def _decode(
+    item: published.PublishedItem, translate: Callable[[Any], _Decoded]
+) -> result.Result[_Decoded, codes.Problem]:
+    parsed = schema.parse_json(item.value or b"", codes.ResultCode.BAD_ITEM)
+    if isinstance(parsed, result.Err):
+        return parsed
+    try:
+        return result.Ok(translate(parsed.ok_value))
+    except schema.FieldError as error:
+        field = f"{item.key}.{error.field}"
+        return result.Err(codes.Problem(codes.ResultCode.BAD_ITEM, field, str(error)))
--- /dev/null
+++ b/src/jujubetiller/platform/_fields.py
@@ -0,0 +1,65 @@
+"""Readers of single fields in the platform's documents.
+
+Each raises ``FieldError``, which names the field and what is allowed there.
+"""
+
+import re
+from typing import Any
+
+from jujubetiller import schema, settings
+
+_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+_MS_BY_UNIT = {"ms": 1.0, "s": 1_000.0}
+_REQUIRED: Any = object()
+
+
+def read_duration_ms(document: Any, name: str, default: Any = _REQUIRED) -> float:
+    """Return a time in milliseconds, written like ``1500ms`` or ``2.5s``."""
+    value = read(document, name, str, default)
+    if not isinstance(value, str):
+        return float(value)
+    found = _DURATION.fullmatch(value)
+    if found is None:
+        raise schema.FieldError(name, f"allowed are times like 1500ms, got {value!r}")
+    return float(found.group(1)) * _MS_BY_UNIT[found.group(2)]
+
+
+def read_whole(
+    document: Any, name: str, lowest: int = 0, default: Any = _REQUIRED
+) -> int:
+    """Return a whole number of at least ``lowest``."""
+    value = read(document, name, int, default)
+    if isinstance(value, bool) or value < lowest:
+        raise schema.FieldError(name, f"allowed are whole numbers from {lowest}")
+    return int(value)
+
+
+def read_text(document: Any, name: str) -> str:
+    """Return a text that is not empty."""
+    value = read(document, name, str)
+    if not value:
+        raise schema.FieldError(name, "allowed are texts that are not empty")
+    return str(value)
+
+
+def read_address(document: Any, name: str) -> settings.Address:
+    """Return an address, written like ``10.1.0.8:8300``."""
+    text = read_text(document, name)
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdigit()):
+        raise schema.FieldError(name, f"allowed are HOST:PORT, got {text!r}")
+    return settings.Address(host, int(port))
+
+
+def read(document: Any, name: str, kind: type, default: Any = _REQUIRED) -> Any:
+    """Return the field ``name`` of the JSON type ``kind``."""
+    if not isinstance(document, dict):
+        raise schema.FieldError(name, "its parent must be a table")
+    value = document.get(name)
+    if value is None and default is not _REQUIRED:
+        return default
+    if not isinstance(value, kind):
+        raise schema.FieldError(
+            name, f"allowed is a value of type {kind.__name__}, got {value!r:.80}"
+        )
+    return value
--- /dev/null
+++ b/src/jujubetiller/platform/_headers.py
@@ -0,0 +1,12 @@
+"""Header names on the platform."""
+
+from jujubetiller import mesh
+
+HEADERS = mesh.HeaderNames(
+    request_id="jujubetiller-request-id",
+    deadline_ms="jujubetiller-deadline-ms",
+    receipt="jujubetiller-server-stamp",
+    expected_instance="jujubetiller-expected-instance",
+    not_run="jujubetiller-not-executed",
+    caller_service="jujubetiller-caller-service",
+)
--- /dev/null
+++ b/src/jujubetiller/platform/_settings.py
@@ -0,0 +1,73 @@
+"""The settings file of the platform."""
+
+import tomllib
+from typing import Any
+
+import attrs
+import result
+
+from jujubetiller import codes, schema, settings
+from jujubetiller.platform import _fields
+
+SETTINGS_VARIABLE = "JUJUBETILLER_CONFIG"
+"""The environment variable with the path of the settings file."""
+
+REPEATED_LOG_LINES_PER_SECOND = 50
+
+
+def load_settings(
+    text: bytes,
+) -> result.Result[settings.MeshSettings, codes.Problem]:
+    """Return the settings in the TOML document ``text``; unknown fields are ignored."""
+    try:
+        return result.Ok(_translate(tomllib.loads(text.decode())))
+    except schema.FieldError as error:
+        return result.Err(
+            codes.Problem(codes.ResultCode.BAD_SETTINGS, error.field, str(error))
+        )
+    except ValueError as error:
+        return result.Err(
+            codes.Problem(codes.ResultCode.BAD_SETTINGS, "document", str(error))
+        )
+
+
+def _translate(document: dict[str, Any]) -> settings.MeshSettings:
+    bounds = _fields.read(document, "bounds", dict)
+    return settings.MeshSettings(
+        node=_fields.read_text(document, "node_id"),
+        service=_fields.read_text(document, "service"),
+        zone=_fields.read_text(document, "zone"),
+        listen=_translate_listen(document),
+        target=settings.TargetSettings(
+            address=_fields.read_address(document, "app_addr"), connect_timeout_ms=500
+        ),
+        store=_translate_store(_fields.read(document, "platform", dict)),
+        limits=settings.LimitSettings(
+            policy="fixed", queue_length=1_000, queue_wait_ms=1_000
+        ),
+        routing=settings.RoutingSettings(slow_start_ms=3_000),
+        logs=settings.LogSettings(repeats_per_second=REPEATED_LOG_LINES_PER_SECOND),
+        grace_ms=int(_fields.read_duration_ms(bounds, "grace", 6_000.0)),
+    )
+
+
+def _translate_listen(document: dict[str, Any]) -> settings.MeshListenSettings:
+    listen = _fields.read(document, "listen_addrs", dict)
+    host = _fields.read_text(document, "ip")
+    ports = _fields.read(document, "port_range", list)
+    if len(ports) != 2 or not all(isinstance(port, int) for port in ports):
+        raise schema.FieldError("port_range", "allowed are two ports")
+    return settings.MeshListenSettings(
+        egress=_fields.read_address(listen, "egress"),
+        peer=settings.Address(host, ports[0]),
+        readiness=_fields.read_address(listen, "ready"),
+        metrics=settings.Address(host, ports[0] + 1),
+    )
+
+
+def _translate_store(document: dict[str, Any]) -> settings.StoreSettings:
+    store = settings.StoreSettings(_fields.read_address(document, "address"))
+    value_bytes = _fields.read_whole(
+        document, "value_bytes", 1, default=store.max_value_bytes
+    )
+    return attrs.evolve(store, max_value_bytes=value_bytes)
--- a/src/jujubetiller/platform_client/_platform_client.py
+++ b/src/jujubetiller/platform_client/_platform_client.py
@@ -8,24 +8,19 @@
 
 import result
 from twisted.internet import defer, interfaces
-from twisted.python import failure
-from twisted.web import client, http_headers, iweb
+from twisted.web import iweb
 
-from jujubetiller import clock, settings
-from jujubetiller.platform_client import _body_protocol, _platform_value, _watch
-
-CONNECT_TIMEOUT_S = 1.0
-
-IDLE_CONNECTIONS = 4
+from jujubetiller import clock, http_reads, settings
+from jujubetiller.platform_client import _platform_value, _watch
 
 MAX_VERSIONS = 1_000
 
-Answer = result.Result[_platform_value.PlatformValue, _platform_value.ReadProblem]
+Answer = result.Result[_platform_value.PlatformValue, http_reads.ReadProblem]
 
-_STATUS_PROBLEMS: dict[int, _platform_value.ReadProblem] = {
-    204: _platform_value.ReadProblem.NOTHING_NEW,
-    404: _platform_value.ReadProblem.MISSING,
-    429: _platform_value.ReadProblem.OVER_RATE,
+_STATUS_PROBLEMS: dict[int, http_reads.ReadProblem] = {
+    204: http_reads.ReadProblem.NOTHING_NEW,
+    404: http_reads.ReadProblem.MISSING,
+    429: http_reads.ReadProblem.OVER_RATE,
 }
 
 
@@ -55,16 +50,7 @@
         self.settings = platform_settings
         self.random = random_source
         self.on_fresh = on_fresh
-        self.pool: client.HTTPConnectionPool | None = None
-        if agent is None:
-            self.pool = client.HTTPConnectionPool(reactor, persistent=True)
-            self.pool.maxPersistentPerHost = IDLE_CONNECTIONS
-            self.pool.retryAutomatically = False
-            agent = client.Agent(
-                reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self.pool
-            )
-        self.agent = agent
-        self.address = platform_settings.address
+        self.reader = http_reads.HttpReader(reactor, platform_settings.address, agent)
         self.versions: dict[str, int] = {}
         self.fresh_at_ms: float | None = None
         self.counts: collections.Counter[str] = collections.Counter()
@@ -116,63 +102,23 @@
         return True
 
     def request(self, path: str, key: str) -> defer.Deferred[Answer]:
-        """Send a GET and return its answer.
-
-        An answer that is not whole after ``watch_silent_ms`` is given up and
-        its connection closed, because a connection can go silent for good while
-        new ones work.
-        """
-        uri = f"http://{_host_for_uri(self.address.host)}:{self.address.port}{path}"
-        given_up: list[_platform_value.ReadProblem] = []
-
-        def give_up(problem: _platform_value.ReadProblem) -> None:
-            given_up.append(problem)
-            sent.cancel()
-
-        done: defer.Deferred[Answer] = defer.Deferred(
-            lambda _: give_up(_platform_value.ReadProblem.CANCELLED)
-        )
-        sent: defer.Deferred[Any] = self.agent.request(
-            b"GET", uri.encode(), http_headers.Headers({}), None
-        )
-        sent.addCallback(self._read_body, key)
-        timer = self.reactor.callLater(
-            self.settings.watch_silent_ms / 1_000,
-            give_up,
-            _platform_value.ReadProblem.SILENT,
+        """Send a GET and return its answer; one that is late is given up."""
+        read = self.reader.get(
+            path, self.settings.watch_silent_ms, _platform_value.MAX_BODY_BYTES
         )
 
-        def finish(outcome: Answer | failure.Failure) -> None:
-            if timer.active():
-                timer.cancel()
-            if isinstance(outcome, failure.Failure):
-                outcome = result.Err(_describe_failure(outcome, given_up))
-            self._note(outcome)
-            if not done.called:
-                done.callback(outcome)
+        def parse(
+            read_answer: result.Result[http_reads.HttpAnswer, http_reads.ReadProblem],
+        ) -> Answer:
+            answer = _parse_answer(read_answer, key)
+            self._note(answer)
+            return answer
 
-        sent.addBoth(finish)
-        return done
+        return read.addCallback(parse)
 
     def close(self) -> defer.Deferred[None]:
         """Close idle connections."""
-        if self.pool is None:
-            return defer.succeed(None)
-        return self.pool.closeCachedConnections()
-
-    def _read_body(self, response: iweb.IResponse, key: str) -> defer.Deferred[Answer]:
-        body = _body_protocol.BodyProtocol(_platform_value.MAX_BODY_BYTES)
-        response.deliverBody(body)
-        problem = _STATUS_PROBLEMS.get(
-            response.code, _platform_value.ReadProblem.BAD_ANSWER
-        )
-
-        def parse_body(content: bytes) -> Answer:
-            if response.code == 200:
-                return _platform_value.parse_value(content, key)
-            return result.Err(problem)
-
-        return body.finished.addCallback(parse_body)
+        return self.reader.close()
 
     def _note(self, answer: Answer) -> None:
         if isinstance(answer, result.Err):
@@ -190,15 +136,13 @@
         self.on_fresh()
 
 
-def _host_for_uri(host: str) -> str:
-    return f"[{host}]" if ":" in host else host
-
-
-def _describe_failure(
-    reason: failure.Failure, given_up: list[_platform_value.ReadProblem]
-) -> _platform_value.ReadProblem:
-    if given_up:
-        return given_up[0]
-    if reason.check(_body_protocol.BodyTooLargeError):
-        return _platform_value.ReadProblem.BAD_ANSWER
-    return _platform_value.ReadProblem.UNREACHABLE
+def _parse_answer(
+    answer: result.Result[http_reads.HttpAnswer, http_reads.ReadProblem], key: str
+) -> Answer:
+    if isinstance(answer, result.Err):
+        return answer
+    if answer.ok_value.status == 200:
+        return _platform_value.parse_value(answer.ok_value.body, key)
+    return result.Err(
+        _STATUS_PROBLEMS.get(answer.ok_value.status, http_reads.ReadProblem.BAD_ANSWER)
+    )
--- a/src/jujubetiller/platform_client/_platform_value.py
+++ b/src/jujubetiller/platform_client/_platform_value.py
@@ -1,12 +1,11 @@
 """Answers of the configuration service."""
 
-import enum
 from typing import Any
 
 import attrs
 import result
 
-from jujubetiller import codes, schema
+from jujubetiller import codes, http_reads, schema
 
 MAX_VALUE_BYTES = 1_000_000
 
@@ -14,19 +13,9 @@
 """The value with its key and version."""
 
 
-class ReadProblem(enum.Enum):
-    """Why a read or a watch brought no value."""
-
-    NOTHING_NEW = "nothing-new"
-    MISSING = "missing"
-    OVER_RATE = "over-rate"
-    UNREACHABLE = "unreachable"
-    SILENT = "silent"
-    CANCELLED = "cancelled"
-    BAD_ANSWER = "bad-answer"
-
-
-FRESH_PROBLEMS = frozenset({ReadProblem.NOTHING_NEW, ReadProblem.MISSING})
+FRESH_PROBLEMS = frozenset(
+    {http_reads.ReadProblem.NOTHING_NEW, http_reads.ReadProblem.MISSING}
+)
 """Answers without a value that still show the platform's present state."""
 
 
@@ -39,7 +28,9 @@
     value: Any
 
 
-def parse_value(body: bytes, key: str) -> result.Result[PlatformValue, ReadProblem]:
+def parse_value(
+    body: bytes, key: str
+) -> result.Result[PlatformValue, http_reads.ReadProblem]:
     """Return the value in the body of an answer for ``key``."""
     parsed = schema.parse_json(body, codes.ResultCode.BAD_REQUEST)
     document = parsed.ok_value if isinstance(parsed, result.Ok) else None
@@ -50,5 +41,5 @@
         or document["version"] < 0
         or "value" not in document
     ):
-        return result.Err(ReadProblem.BAD_ANSWER)
+        return result.Err(http_reads.ReadProblem.BAD_ANSWER)
     return result.Ok(PlatformValue(key, document["version"], document["value"]))
--- a/src/jujubetiller/platform_client/_ticket_reader.py
+++ b/src/jujubetiller/platform_client/_ticket_reader.py
@@ -7,9 +7,8 @@
 import result
 from twisted.internet import interfaces
 
-from jujubetiller import tickets
+from jujubetiller import http_reads, tickets
 from jujubetiller.platform_client import (
-    _backoff,
     _platform_client,
     _platform_value,
     _watch,
@@ -55,7 +54,7 @@
         self.fetching: set[int] = set()
         self.finished: dict[int, None] = {}
         """Numbers that were read; a ticket never changes once it is published."""
-        self.backoff = _backoff.Backoff(platform.random)
+        self.backoff = http_reads.Backoff(platform.random)
         self.watch: _watch.Watch | None = None
         self.timer: interfaces.IDelayedCall | None = None
         self.bad_index_count = 0
--- a/src/jujubetiller/platform_client/_watch.py
+++ b/src/jujubetiller/platform_client/_watch.py
@@ -6,7 +6,8 @@
 import result
 from twisted.internet import defer, interfaces
 
-from jujubetiller.platform_client import _backoff, _platform_value
+from jujubetiller import http_reads
+from jujubetiller.platform_client import _platform_value
 
 if typing.TYPE_CHECKING:
     from jujubetiller.platform_client import _platform_client
@@ -31,7 +32,7 @@
         self.key = key
         self.on_value = on_value
         self.period_ms = period_ms
-        self.backoff = _backoff.Backoff(platform.random)
+        self.backoff = http_reads.Backoff(platform.random)
         self.is_stopped = False
         self.asked_at_ms = 0.0
         self.waiting: defer.Deferred[object] | None = None
@@ -65,7 +66,7 @@
             is_new = self.platform.accept_version(self.key, version) and version > seen
         elif not (
             isinstance(answer, result.Err)
-            and answer.err_value is _platform_value.ReadProblem.NOTHING_NEW
+            and answer.err_value is http_reads.ReadProblem.NOTHING_NEW
         ):
             delay_ms = self.backoff.next_ms()
         if delay_ms is None:
--- /dev/null
+++ b/src/jujubetiller/published/_item_decoder.py
@@ -0,0 +1,32 @@
+"""The contract for the formats of published items."""
+
+import abc
+
+import result
+
+from jujubetiller import codes, routes
+from jujubetiller.published import _published_instance, _published_item
+
+
+class ItemDecoder(abc.ABC):
+    """Turns published items into configurations and instances."""
+
+    @abc.abstractmethod
+    def instance_of(self, key: str) -> str | None:
+        """Return the name of the instance that ``key`` describes, if any."""
+
+    @abc.abstractmethod
+    def is_configuration(self, key: str) -> bool:
+        """Return whether ``key`` holds the configuration."""
+
+    @abc.abstractmethod
+    def decode_instance(
+        self, item: _published_item.PublishedItem
+    ) -> result.Result[_published_instance.PublishedInstance, codes.Problem]:
+        """Return the instance that ``item`` describes."""
+
+    @abc.abstractmethod
+    def decode_configuration(
+        self, item: _published_item.PublishedItem
+    ) -> result.Result[routes.Configuration, codes.Problem]:
+        """Return the configuration in ``item``."""
--- /dev/null
+++ b/src/jujubetiller/published/_published_instance.py
@@ -0,0 +1,28 @@
+"""An instance as it publishes itself."""
+
+import attrs
+
+from jujubetiller import settings
+
+
+@attrs.frozen
+class PublishedInstance:
+    """One lifetime of an instance."""
+
+    instance: str
+    service: str
+    zone: str
+
+    address: settings.Address
+    """The address of the instance itself, on the VM of its node."""
+
+    slots: int
+    """Requests that the instance runs at once."""
+
+    draining: bool
+
+    warmup_left_ms: float
+    """How much longer the instance is slow after its start."""
+
+    born_ms: int
+    """Unix time of the instance's start; 0 if it is not known."""
--- /dev/null
+++ b/src/jujubetiller/published/_published_state.py
@@ -0,0 +1,86 @@
+"""The published items that a node knows."""
+
+from collections.abc import Callable
+
+from jujubetiller.published import _changes, _published_item
+
+_Item = _published_item.PublishedItem
+
+MAX_REMOVED = 4_096
+"""Removals kept for readers that are behind; older ones need a listing."""
+
+
+class PublishedState:
+    """Merges items of the store and of peers; the higher revision of a key wins.
+
+    ``revision`` is the last change up to which nothing is missing. Observers get
+    the items that changed, in the order of their revisions.
+    """
+
+    def __init__(self, max_removed: int = MAX_REMOVED) -> None:
+        self.max_removed = max_removed
+        self.items: dict[str, _Item] = {}
+        self.removed: dict[str, _Item] = {}
+        self.revision = 0
+        self.listed_at_revision = 0
+        """Removals before this revision are not known."""
+
+        self.observers: list[Callable[[list[_Item]], None]] = []
+
+    def is_complete(self) -> bool:
+        """Return whether a whole listing was ever merged."""
+        return self.revision > 0
+
+    def apply(self, changes: _changes.Changes) -> None:
+        """Merge ``changes``.
+
+        A listing removes the keys that it lacks, unless they changed after it.
+        """
+        items = list(changes.items)
+        if changes.is_listing:
+            items += self._find_missing(changes)
+        changed = [item for item in items if self._merge(item)]
+        if changes.is_listing and changes.revision > self.revision:
+            self.listed_at_revision = changes.revision
+        self.revision = max(self.revision, changes.revision)
+        if changed:
+            changed.sort(key=lambda item: item.revision)
+            for observer in self.observers:
+                observer(changed)
+
+    def changes_since(self, revision: int) -> _changes.Changes:
+        """Return what a reader that knows everything up to ``revision`` lacks."""
+        is_listing = revision < self.listed_at_revision
+        if is_listing:
+            items = list(self.items.values())
+        else:
+            known = (*self.items.values(), *self.removed.values())
+            items = [item for item in known if item.revision > revision]
+        return _changes.Changes(self.revision, tuple(items), is_listing)
+
+    def _find_missing(self, changes: _changes.Changes) -> list[_Item]:
+        listed = {item.key for item in changes.items}
+        return [
+            _Item(key, changes.revision, None)
+            for key, item in self.items.items()
+            if key not in listed and item.revision <= changes.revision
+        ]
+
+    def _merge(self, item: _Item) -> bool:
+        known = self.items.get(item.key) or self.removed.get(item.key)
+        if known is not None and known.revision >= item.revision:
+            return False
+        if item.value is not None:
+            self.items[item.key] = item
+            self.removed.pop(item.key, None)
+            return True
+        was_known = self.items.pop(item.key, None) is not None
+        self.removed.pop(item.key, None)
+        self.removed[item.key] = item
+        self._bound_removed()
+        return was_known
+
+    def _bound_removed(self) -> None:
+        while len(self.removed) > self.max_removed:
+            oldest = self.removed.pop(next(iter(self.removed)))
+            self.listed_at_revision = max(self.listed_at_revision, oldest.revision)
--- a/src/jujubetiller/settings/__init__.py
+++ b/src/jujubetiller/settings/__init__.py
@@ -7,12 +7,15 @@
 from jujubetiller.settings._listen_settings import ListenSettings
 from jujubetiller.settings._load import load_settings
 from jujubetiller.settings._log_settings import LogSettings
+from jujubetiller.settings._mesh_settings import MeshListenSettings, MeshSettings
 from jujubetiller.settings._node_settings import NodeSettings
 from jujubetiller.settings._platform_settings import PlatformSettings
 from jujubetiller.settings._pressure_settings import PressureSettings
 from jujubetiller.settings._record_settings import RecordSettings
+from jujubetiller.settings._repeat_settings import RepeatSettings
 from jujubetiller.settings._retry_settings import RetrySettings
 from jujubetiller.settings._routing_settings import RoutingSettings
+from jujubetiller.settings._store_settings import StoreSettings
 from jujubetiller.settings._stream_settings import StreamSettings
 from jujubetiller.settings._target_settings import TargetSettings
 
@@ -23,12 +26,16 @@
     "LimitSettings",
     "ListenSettings",
     "LogSettings",
+    "MeshListenSettings",
+    "MeshSettings",
     "NodeSettings",
     "PlatformSettings",
     "PressureSettings",
     "RecordSettings",
+    "RepeatSettings",
     "RetrySettings",
     "RoutingSettings",
+    "StoreSettings",
     "StreamSettings",
     "TargetSettings",
     "load_settings",
--- /dev/null
+++ b/src/jujubetiller/settings/_mesh_settings.py
@@ -0,0 +1,56 @@
+"""The settings of a node whose callers and instances bring no keys."""
+
+import attrs
+
+from jujubetiller.settings import (
+    _address,
+    _fields,
+    _limit_settings,
+    _log_settings,
+    _repeat_settings,
+    _routing_settings,
+    _store_settings,
+    _stream_settings,
+    _target_settings,
+)
+
+
+@attrs.frozen
+class MeshListenSettings:
+    """The addresses on which a node listens."""
+
+    egress: _address.Address
+    """Requests of clients and of the instance on the same VM."""
+
+    peer: _address.Address
+    """Streams of other nodes; the port is the same on all VMs."""
+
+    readiness: _address.Address
+    metrics: _address.Address
+
+
+@attrs.frozen
+class MeshSettings:
+    """Everything that the node learns before it starts."""
+
+    node: str = attrs.field(validator=_fields.check_name)
+    """The name of the node, unique in the fleet."""
+
+    service: str = attrs.field(validator=_fields.check_name)
+    """The service of the instance beside the node."""
+
+    zone: str = attrs.field(validator=_fields.check_name)
+    listen: MeshListenSettings
+    target: _target_settings.TargetSettings
+    store: _store_settings.StoreSettings
+    repeats: _repeat_settings.RepeatSettings = _repeat_settings.RepeatSettings()
+    streams: _stream_settings.StreamSettings = _stream_settings.StreamSettings()
+    limits: _limit_settings.LimitSettings = _limit_settings.LimitSettings()
+    routing: _routing_settings.RoutingSettings = _routing_settings.RoutingSettings()
+    logs: _log_settings.LogSettings = _log_settings.LogSettings()
+
+    grace_ms: int = _fields.whole_number(6_000, 100, 600_000)
+    """Time between SIGTERM and the end of the process."""
+
+    exchange_ms: int = _fields.whole_number(500, 50, 60_000)
+    """Pause between two comparisons of the published state with peers."""
--- /dev/null
+++ b/src/jujubetiller/settings/_store_settings.py
@@ -0,0 +1,21 @@
+"""Settings of the store that publishes configuration and instances."""
+
+import attrs
+
+from jujubetiller.settings import _address, _fields
+
+
+@attrs.frozen
+class StoreSettings:
+    """Where the store is and how it is watched."""
+
+    address: _address.Address
+
+    watch_wait_ms: int = _fields.whole_number(4_500, 100, 30_000)
+    """The longest wait of one watch. A silent connection is noticed after it; until
+    then, peers with a working watch bring the news."""
+
+    answer_timeout_ms: int = _fields.whole_number(1_500, 50, 60_000)
+    """Time beyond the wait of a watch after which an answer counts as lost."""
+
+    max_value_bytes: int = _fields.whole_number(1_048_576, 1_024, 67_108_864)
--- a/src/jujubetiller/target/_target_client.py
+++ b/src/jujubetiller/target/_target_client.py
@@ -61,10 +61,11 @@
 
     def take_idle(self) -> _target_connection.TargetConnection | None:
         """Return the connection that was used last, if it is still usable."""
-        oldest_usable_ms = self.clock.now_ms() - IDLE_REUSE_MS
+        now_ms = self.clock.now_ms()
         while self.idle:
             connection = self.idle.pop()
-            if connection.is_open and connection.idle_since_ms >= oldest_usable_ms:
+            reuse_ms = min(IDLE_REUSE_MS, connection.reuse_ms or IDLE_REUSE_MS)
+            if connection.is_open and connection.idle_since_ms >= now_ms - reuse_ms:
                 return connection
             connection.close()
         return None
--- a/src/jujubetiller/target/_target_connection.py
+++ b/src/jujubetiller/target/_target_connection.py
@@ -1,9 +1,10 @@
 """One HTTP/1.1 connection to the target."""
 
+import re
 from typing import TYPE_CHECKING
 
 import httptools
-from twisted.internet import protocol
+from twisted.internet import error, protocol
 from twisted.python import failure
 
 from jujubetiller import codes, transports
@@ -16,6 +17,11 @@
     ("connection", "content-length", "keep-alive", "transfer-encoding")
 )
 
+_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,6})")
+
+# The rest of the target's idle time covers the way of the next request.
+_REUSED_SHARE = 0.7
+
 LOWEST_FINAL_STATUS = 200
 
 MAX_HEAD_BYTES = 262_144
@@ -48,6 +54,11 @@
         self.is_complete = False
         self.keep_alive = False
         self.status = 0
+        self.echoed: str | None = None
+        self.has_length = False
+        self.reuse_ms: float | None = None
+        """How long the target keeps the connection open when it is idle."""
+
         self.parser: httptools.HttpResponseParser | None = None
 
     def connectionMade(self) -> None:
@@ -66,19 +77,25 @@
         self.call = call
         call.connection = self
         call.sent_at_ms = self.client.clock.now_ms()
-        self.body_parts = []
-        self.body_bytes = 0
-        self.response_headers = []
         self.received_any = False
-        self.head_bytes = 0
-        self.head_is_complete = False
         self.is_complete = False
+        self.expect_response()
         self.parser = httptools.HttpResponseParser(self)
         assert self.transport is not None
         transports.send_now(
             self.transport, _target_request.encode_request(call.request)
         )
 
+    def expect_response(self) -> None:
+        """Forget what was read of a response that belongs to no request."""
+        self.body_parts = []
+        self.body_bytes = 0
+        self.response_headers = []
+        self.head_bytes = 0
+        self.head_is_complete = False
+        self.echoed = None
+        self.has_length = False
+
     def dataReceived(self, data: bytes) -> None:
         """Feed the parser; bytes without a request close the connection.
 
@@ -117,10 +134,35 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep an end-to-end header of the response."""
+        if self.is_complete:
+            return
         text = name.decode("latin-1")
-        if not self.is_complete and text.lower() not in _HOP_BY_HOP:
+        lower = text.lower()
+        note = _NOTED_HEADERS.get(lower)
+        if note is not None:
+            note(self, value)
+        if self.call is not None and self.call.request.echo is not None:
+            if lower == self.call.request.echo[0]:
+                self.echoed = value.decode("latin-1")
+        if lower not in _HOP_BY_HOP:
             self.response_headers.append((text, value.decode("latin-1")))
 
+    def note_length(self, value: bytes) -> None:
+        """Note that the response says where it ends."""
+        self.has_length = True
+
+    def note_keep_alive(self, value: bytes) -> None:
+        """Note how long the target keeps the idle connection."""
+        found = _KEEP_ALIVE_TIMEOUT.search(value)
+        if found is not None:
+            self.reuse_ms = int(found.group(1)) * 1000.0 * _REUSED_SHARE
+
+    def is_of_another_request(self) -> bool:
+        """Return whether the response repeats another value than was sent."""
+        if self.call is None or self.call.request.echo is None:
+            return False
+        return self.echoed is not None and self.echoed != self.call.request.echo[1]
+
     def on_headers_complete(self) -> None:
         """End the response to HEAD, which has no body whatever its length says."""
         if self.is_complete:
@@ -144,8 +186,11 @@
             return
         self.status = self.parser.get_status_code()
         if self.status < LOWEST_FINAL_STATUS:
-            self.response_headers = []
-            self.head_is_complete = False
+            self.expect_response()
+            return
+        if self.is_of_another_request():
+            self.client.statistics.responses_of_others += 1
+            self.expect_response()
             return
         self.is_complete = True
         self.keep_alive = self.parser.should_keep_alive()
@@ -190,7 +235,30 @@
         """Report a request whose response is not whole."""
         self.is_open = False
         self.client.connection_closed(self)
+        if self.ends_with_connection(reason):
+            assert self.parser is not None
+            self.status = self.parser.get_status_code()
+            self.keep_alive = False
+            self.finish()
+            return
         call, self.call = self.call, None
         if call is not None:
             self.client.statistics.closed_early += 1
             call.fail(codes.ResultCode.TARGET_CLOSED_EARLY)
+
+    def ends_with_connection(self, reason: failure.Failure) -> bool:
+        """Return whether the close is the end of a response without a length."""
+        return (
+            self.call is not None
+            and self.head_is_complete
+            and not self.has_length
+            and not self.is_of_another_request()
+            and reason.check(error.ConnectionDone) is not None
+        )
+
+
+_NOTED_HEADERS = {
+    "content-length": TargetConnection.note_length,
+    "transfer-encoding": TargetConnection.note_length,
+    "keep-alive": TargetConnection.note_keep_alive,
+}
--- a/src/jujubetiller/target/_target_request.py
+++ b/src/jujubetiller/target/_target_request.py
@@ -15,6 +15,10 @@
     body: bytes
     deadline: calls.Deadline
 
+    echo: tuple[str, str] | None = None
+    """Header, in lower case, and value that the target repeats in its response. A
+    response with another value belongs to an earlier request."""
+
 
 def encode_request(request: TargetRequest) -> bytes:
     """Return the bytes of ``request`` in HTTP/1.1.
--- a/src/jujubetiller/target/_target_statistics.py
+++ b/src/jujubetiller/target/_target_statistics.py
@@ -16,3 +16,5 @@
     """Idle connections closed by the bound or after a silent connection."""
 
     closed_early: int = 0
+    responses_of_others: int = 0
+    """Responses dropped because they belong to an earlier request."""
