Handle pipelined requests at once and place calls by relative slowness

The channel now hands on up to eight requests of a connection and gives the answers in order. Placement weighs how long an instance takes for a kind of call relative to all instances.

--- a/src/jujubetiller/edge/_edge_request.py
+++ b/src/jujubetiller/edge/_edge_request.py
@@ -2,10 +2,11 @@
 
 import io
 from collections.abc import Callable, Set
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from twisted.python import failure
-from twisted.web import http
+from twisted.web import http, iweb
+from zope import interface
 
 from jujubetiller import codes, transports
 from jujubetiller.edge import _edge_message, _edge_reply, _encode_reply, _headers
@@ -29,6 +30,7 @@
 )
 
 
+@interface.provider(iweb.INonQueuedRequestFactory)
 class EdgeRequest(http.Request):
     """A request without the resource tree of ``twisted.web``.
 
@@ -38,6 +40,8 @@
     body_bytes = 0
     is_too_large = False
     cancel: Callable[[], None] | None = None
+    held: _edge_reply.EdgeReply | None = None
+    """The answer, while requests before this one wait for theirs."""
 
     @property
     def edge_factory(self) -> "_edge_factory.EdgeFactory":
@@ -129,10 +133,13 @@
         The base class would write the headers and the body apart.
         """
         self.cancel = None
-        if self._disconnected or self.finished:
+        if self._disconnected or self.finished or self.held is not None:
             return
-        channel = self.channel
-        if self.edge_factory.handler.is_draining():
+        channel: Any = self.channel
+        if channel.requests[0] is not self:
+            self.held = reply
+            return
+        if self.edge_factory.handler.is_draining() and channel.is_last():
             channel.persistent = False
         data = _encode_reply.encode_reply(
             reply, bool(channel.persistent), self.method == b"HEAD"
@@ -140,7 +147,13 @@
         self.startedWriting = 1
         self.sentLength = len(reply.body)
         transports.send_now(channel.transport, data)
-        self.finish()  # type: ignore[no-untyped-call]
+        self.finish()
+
+    def send_held(self) -> None:
+        """Write the answer if it is ready; all requests before are answered."""
+        held, self.held = self.held, None
+        if held is not None:
+            self.send(held)
 
     def connectionLost(self, reason: failure.Failure) -> None:
         """Cancel the call of a caller that went away."""
--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -133,7 +133,7 @@
             self.parts.router.answered(instance, away, took_ms)
             self.parts.router.unreachable(instance)
             return
-        self.parts.router.answered(instance, answer, took_ms)
+        self.parts.router.answered(instance, answer, took_ms, self.route.name)
 
     def finish(self, answer: calls.CallAnswer) -> None:
         """Answer the client."""
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -40,6 +40,9 @@
 
 HOUSEKEEPING_MS = 250.0
 
+PIPELINE_DEPTH = 8
+"""Requests of one connection that are under way at once."""
+
 SourceFactory = Callable[[published.PublishedState], published.ItemSource]
 
 
@@ -89,7 +92,7 @@
         decoder: published.ItemDecoder,
     ) -> _mesh_parts.MeshParts:
         node_settings = self.settings
-        router = routing.Router(
+        router = routing.RelativeRouter(
             time_source, random_source, node_settings.routing, node_settings.zone
         )
         guard = limits.build_guard(time_source, node_settings.limits)
@@ -164,6 +167,7 @@
             handler,
             self.settings.streams.max_body_bytes,
             self.settings.limits.max_connections,
+            PIPELINE_DEPTH,
         )
         self.edges[name] = factory
         address = getattr(self.settings.listen, name)
--- a/src/jujubetiller/routing/__init__.py
+++ b/src/jujubetiller/routing/__init__.py
@@ -1,6 +1,8 @@
 """The choice of the instance that a call is sent to."""
 
 from jujubetiller.routing._instance_stats import InstanceStats
+from jujubetiller.routing._relative_pool import RelativePool
+from jujubetiller.routing._relative_router import RelativeRouter
 from jujubetiller.routing._routable_instance import RoutableInstance
 from jujubetiller.routing._router import Router
 from jujubetiller.routing._service_pool import ServicePool
@@ -8,6 +10,8 @@
 
 __all__ = [
     "InstanceStats",
+    "RelativePool",
+    "RelativeRouter",
     "RoutableInstance",
     "Router",
     "ServicePool",
--- a/src/jujubetiller/routing/_instance_stats.py
+++ b/src/jujubetiller/routing/_instance_stats.py
@@ -49,6 +49,9 @@
     refusals: float = 0.0
     """Moving average of 1 for each refusal and 0 for each answer."""
 
+    slowness: float = 1.0
+    """Time of calls relative to all calls of their kinds; 1 is as all others."""
+
     updated_at_ms: float = 0.0
 
     chosen: Any = attrs.field(init=False, eq=False)
--- /dev/null
+++ b/src/jujubetiller/routing/_relative_pool.py
@@ -0,0 +1,87 @@
+"""The choice among instances by how slow they are for one kind of call."""
+
+import math
+import random
+
+from jujubetiller import settings
+from jujubetiller.routing import _instance_stats, _kind_times, _service_pool
+
+_Stats = _instance_stats.InstanceStats
+
+_SAMPLE_WEIGHT = 0.1
+
+_FORGET_MS = 5_000.0
+"""What was seen of an instance loses its effect in about this time."""
+
+_STEEPNESS = 4.0
+"""An instance that is twice as slow gets a sixteenth of the calls."""
+
+_OTHER_ZONE_WEIGHT = 0.01
+"""Traffic between zones costs, so an instance in another zone gets this share of
+the calls of an equally fast one in the own zone."""
+
+_REFUSAL_COST = 10.0
+
+_FASTEST = 0.2
+_MOST_CANDIDATES = 12
+
+
+class RelativePool(_service_pool.ServicePool):
+    """Spreads calls by the time that instances take, relative to others.
+
+    Answers the load in which an instance turns slow or refuses while others of
+    its service have room: its share falls steeply with its slowness, and other
+    zones help when the own one is slow as a whole.
+    """
+
+    def __init__(
+        self,
+        random_source: random.Random,
+        routing_settings: settings.RoutingSettings,
+        own_zone: str,
+    ) -> None:
+        super().__init__(random_source, routing_settings, own_zone)
+        self.times = _kind_times.KindTimes()
+
+    def record(
+        self, stats: _Stats, refused: bool, took_ms: float, kind: str, now_ms: float
+    ) -> None:
+        """Take in the end of a call."""
+        decay = math.exp((stats.updated_at_ms - now_ms) / _FORGET_MS)
+        stats.slowness = 1.0 + (stats.slowness - 1.0) * decay
+        stats.refusals *= decay
+        stats.updated_at_ms = now_ms
+        stats.refusals += _SAMPLE_WEIGHT * (refused - stats.refusals)
+        if not refused:
+            ratio = min(self.times.record(kind, took_ms), 1 / _FASTEST**2)
+            stats.slowness += _SAMPLE_WEIGHT * (ratio - stats.slowness)
+
+    def choose(self, exclude: frozenset[str], now_ms: float) -> _Stats | None:
+        """Return the instance for a call, or None if none can be reached."""
+        if self.unreachable:
+            probed = self._take_probe(exclude, now_ms)
+            if probed is not None:
+                return probed
+        candidates = self._candidates(exclude)
+        if len(candidates) < 2:
+            return candidates[0] if candidates else None
+        weights = [self.weight(stats, now_ms) for stats in candidates]
+        return self.random_source.choices(candidates, weights)[0]
+
+    def weight(self, stats: _Stats, now_ms: float) -> float:
+        """Return the share of the calls that the instance may get."""
+        decay = math.exp((stats.updated_at_ms - now_ms) / _FORGET_MS)
+        slowness = max(_FASTEST, 1.0 + (stats.slowness - 1.0) * decay)
+        cost = slowness * (1.0 + _REFUSAL_COST * stats.refusals * decay)
+        weight = cost**-_STEEPNESS * stats.warm_share(now_ms)
+        if stats.instance.zone != self.own_zone:
+            weight *= _OTHER_ZONE_WEIGHT
+        return weight
+
+    def _candidates(self, exclude: frozenset[str]) -> list[_Stats]:
+        candidates = [*self.own, *self.others]
+        if exclude:
+            candidates = [s for s in candidates if s.instance.instance not in exclude]
+        if len(candidates) > _MOST_CANDIDATES:
+            return self.random_source.sample(candidates, _MOST_CANDIDATES)
+        return candidates
--- a/src/jujubetiller/routing/_router.py
+++ b/src/jujubetiller/routing/_router.py
@@ -80,6 +80,7 @@
         instance: _routable_instance.RoutableInstance,
         answer: calls.CallAnswer,
         took_ms: float,
+        kind: str = "",
     ) -> None:
         """Take in how a call that was ``sent`` ended, whoever ended it."""
         stats = self._find(instance)
@@ -88,9 +89,8 @@
         if stats.outstanding > 0:
             stats.outstanding -= 1
         refused = _answer_evidence.is_refusal(answer)
-        stats.record(refused, took_ms, self.time_source.now_ms())
         pool = self.pools[instance.service]
-        pool.spill.record(instance.zone == self.own_zone, refused)
+        pool.record(stats, refused, took_ms, kind, self.time_source.now_ms())
         if not stats.reachable and _answer_evidence.shows_life(answer):
             self.reachable(instance)
         if answer.code is codes.ResultCode.DRAINING:
--- a/src/jujubetiller/routing/_service_pool.py
+++ b/src/jujubetiller/routing/_service_pool.py
@@ -99,6 +99,13 @@
         """Return whether the instance may get calls at all."""
         return not stats.leaving
 
+    def record(
+        self, stats: _Stats, refused: bool, took_ms: float, kind: str, now_ms: float
+    ) -> None:
+        """Take in the end of a call of ``kind``."""
+        stats.record(refused, took_ms, now_ms)
+        self.spill.record(stats.instance.zone == self.own_zone, refused)
+
     def choose(self, exclude: frozenset[str], now_ms: float) -> _Stats | None:
         """Return the instance for a call, or None if none can be reached."""
         if self.unreachable:
--- a/tests/bench/test_operations_page.py
+++ b/tests/bench/test_operations_page.py
@@ -9,7 +9,7 @@
 from jujubetiller.node import _counter_groups
 from standins.fleet import local_fleet
 
-PAGE = (pathlib.Path(__file__).parents[2] / "docs" / "operations.md").read_text()
+PAGE = (pathlib.Path(__file__).parents[2] / "docs" / "OPERATIONS.md").read_text()
 
 
 def test_every_metric_is_on_the_page_and_no_other() -> None:
--- a/tests/command/test_check_ticket.py
+++ b/tests/command/test_check_ticket.py
@@ -43,7 +43,7 @@
 
 
 def test_the_example_of_the_operations_page_is_valid(tmp_path: pathlib.Path) -> None:
-    page = pathlib.Path(__file__).parents[2] / "docs" / "operations.md"
+    page = pathlib.Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
     (example,) = re.findall(r"```json\n(.*?)```", page.read_text(), re.DOTALL)
     file = tmp_path / "ticket.json"
     file.write_text(example)
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -226,3 +226,73 @@
     headers = f"Jujubetiller-Key: k\r\nContent-Length: {len(body)}\r\n"
     connection.request(path, headers, body, method="POST")
     assert "Jujubetiller-Code: 308\r\n" in connection.take()
+
+
+def pipeline(listener: recording.Listener, number: int) -> recording.Connection:
+    listener.factory.pipeline_depth = 3
+    connection = listener.connect()
+    for index in range(number):
+        connection.request(f"/booth/{index}")
+    return connection
+
+
+def test_pipelined_requests_run_at_once_and_are_answered_in_order() -> None:
+    """Guards against a slow request that holds up those behind it."""
+    listener = recording.Listener()
+    connection = pipeline(listener, 4)
+    handler = listener.handler
+    assert [one.path for one in handler.messages] == [
+        "/booth/0",
+        "/booth/1",
+        "/booth/2",
+    ]
+    handler.replies[2](ok(b"2"))
+    handler.replies[1](ok(b"1"))
+    assert connection.take() == ""
+    handler.replies[0](ok(b"0"))
+    assert connection.take().count("HTTP/1.1 200 OK") == 3
+    assert handler.messages[3].path == "/booth/3"
+    handler.replies[3](ok(b"3"))
+    assert connection.take().endswith("\r\n\r\n3")
+
+
+def test_an_answer_does_not_end_the_body_of_the_next_request() -> None:
+    listener = recording.Listener()
+    connection = pipeline(listener, 1)
+    connection.request("/booth/1", "Content-Length: 4\r\n", "ab", method="POST")
+    listener.handler.replies[0](ok(b"0"))
+    connection.receive(b"cd")
+    assert listener.handler.messages[1].body == b"abcd"
+    listener.handler.replies[1](ok(b"1"))
+    assert connection.take().count("HTTP/1.1 200 OK") == 2
+
+
+def test_a_draining_listener_closes_after_the_last_pipelined_answer() -> None:
+    """Guards against closing a connection while requests on it run."""
+    listener = recording.Listener()
+    connection = pipeline(listener, 2)
+    listener.handler.draining = True
+    listener.handler.replies[0](ok(b"0"))
+    assert "Connection: close" not in connection.take()
+    assert not connection.transport.disconnecting
+    listener.handler.replies[1](ok(b"1"))
+    assert "Connection: close" in connection.take()
+    assert connection.transport.disconnecting
+
+
+def test_a_request_that_asks_to_close_is_the_last_one() -> None:
+    listener = recording.Listener()
+    connection = pipeline(listener, 1)
+    connection.request("/booth/1", "Connection: close\r\n")
+    connection.request("/booth/2")
+    assert [one.path for one in listener.handler.messages] == ["/booth/0", "/booth/1"]
+    listener.handler.replies[1](ok(b"1"))
+    listener.handler.replies[0](ok(b"0"))
+    assert connection.take().count("HTTP/1.1 200 OK") == 2
+    assert connection.transport.disconnecting
+
+
+def test_all_pipelined_requests_are_cancelled_when_the_caller_goes_away() -> None:
+    listener = recording.Listener()
+    pipeline(listener, 2).lose()
+    assert listener.handler.cancelled == ["/booth/0", "/booth/1"]
--- /dev/null
+++ b/tests/routing/test_relative_pool.py
@@ -0,0 +1,62 @@
+"""Guards against calls that stay at a slow or full instance while others are free."""
+
+from jujubetiller import calls, clock, codes, routing
+from tests.routing import test_router
+
+ANSWERED = test_router.ANSWERED
+REFUSED = calls.make_refusal(codes.ResultCode.QUEUE_FULL)
+
+
+def play(
+    answers: dict[str, tuple[calls.CallAnswer, float]], *names: str, count: int = 600
+) -> dict[str, float]:
+    """Return the shares of the second half of ``count`` calls, 5 ms apart."""
+    manual_clock = clock.ManualClock()
+    router = test_router.make_router(
+        manual_clock, *names, router_class=routing.RelativeRouter
+    )
+    chosen: dict[str, int] = dict.fromkeys(names, 0)
+    for number in range(count):
+        manual_clock.advance(5)
+        instance = router.choose("ledger").unwrap()
+        chosen[instance.instance] += number >= count // 2
+        answer, took_ms = answers.get(instance.instance, (ANSWERED, 20.0))
+        router.sent(instance)
+        router.answered(instance, answer, took_ms, "tally")
+    return {name: number / (count // 2) for name, number in chosen.items()}
+
+
+def test_equal_instances_keep_calls_in_the_own_zone() -> None:
+    assert play({}, "a-1", "b-1", "c-1")["a-1"] > 0.95
+
+
+def test_a_zone_whose_instance_is_five_times_slower_gets_help() -> None:
+    """Answers the load of an instance that turns slow for some seconds."""
+    shares = play({"a-1": (ANSWERED, 100.0)}, "a-1", "b-1", "c-1")
+    assert shares["a-1"] < 0.35
+
+
+def test_a_zone_whose_instance_refuses_gets_help() -> None:
+    shares = play({"a-1": (REFUSED, 1.0)}, "a-1", "b-1", "c-1")
+    assert shares["a-1"] < 0.2
+
+
+def test_the_slower_of_two_instances_in_a_zone_gets_less() -> None:
+    shares = play({"a-1": (ANSWERED, 40.0)}, "a-1", "a-2")
+    assert shares["a-1"] < 0.3
+
+
+def test_calls_return_to_an_instance_that_recovers() -> None:
+    manual_clock = clock.ManualClock()
+    router = test_router.make_router(
+        manual_clock, "a-1", "b-1", router_class=routing.RelativeRouter
+    )
+    pool = router.pools["ledger"]
+    slow, other = (pool.stats[name] for name in ("a-1", "b-1"))
+    for _ in range(100):
+        pool.record(other, False, 20.0, "tally", manual_clock.now_ms())
+        pool.record(slow, False, 400.0, "tally", manual_clock.now_ms())
+    assert isinstance(pool, routing.RelativePool)
+    assert pool.weight(slow, manual_clock.now_ms()) < 0.1
+    manual_clock.advance(20_000)
+    assert pool.weight(slow, manual_clock.now_ms()) > 0.9
