--- a/src/jujubetiller/calls/_call_request.py
+++ b/src/jujubetiller/calls/_call_request.py
@@ -44,10 +44,10 @@
     key: str = ""
     """Execution key; empty for idempotent kinds."""
 
-    expected_instance: str = ""
-    """The only instance that may run the call; empty if the node may choose."""
-
     headers: tuple[tuple[str, str], ...] = ()
     """Headers that the caller sent for the target."""
 
     body: bytes = b""
+
+    expected_instance: str = ""
+    """The only instance that may run the call; empty if the node may choose."""
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -116,7 +116,12 @@
             router=router,
             guard=guard,
             guard_timer=limits.GuardTimer(self.reactor, time_source, guard),
-            target=target.TargetClient(self.reactor, time_source, node_settings.target),
+            target=target.TargetClient(
+                self.reactor,
+                time_source,
+                node_settings.target,
+                close_ends_answer=True,
+            ),
             budget=_repeat_budget.RepeatBudget(time_source, node_settings.repeats),
             metrics=metrics.NodeMetrics(),
         )
--- a/src/jujubetiller/target/_target_client.py
+++ b/src/jujubetiller/target/_target_client.py
@@ -26,10 +26,15 @@
         reactor: Any,
         time_source: clock.Clock,
         target_settings: settings.TargetSettings,
+        close_ends_answer: bool = False,
     ) -> None:
         self.reactor = reactor
         self.clock = time_source
         self.settings = target_settings
+        self.close_ends_answer = close_ends_answer
+        """Whether an answer without a length is whole when the target closes its
+        connection in order. Without it, such an answer ends as unknown."""
+
         self.statistics = _target_statistics.TargetStatistics()
         self.idle: list[_target_connection.TargetConnection] = []
 
--- a/src/jujubetiller/target/_target_connection.py
+++ b/src/jujubetiller/target/_target_connection.py
@@ -249,7 +249,8 @@
     def ends_with_connection(self, reason: failure.Failure) -> bool:
         """Return whether the close is the end of a response without a length."""
         return (
-            self.call is not None
+            self.client.close_ends_answer
+            and self.call is not None
             and self.head_is_complete
             and not self.has_length
             and not self.is_of_another_request()
