--- /dev/null
+++ b/tests/mesh/local_mesh.py
@@ -0,0 +1,141 @@
+"""A mesh node on a reactor that only the test advances, with a fake pool and target."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from twisted.internet import task
+
+from jujubetiller import calls, codes, edge, mesh, platform, published, settings
+from jujubetiller.mesh import _egress_site, _peer_calls
+from tests.node import local_node
+from tests.platform import documents
+
+Item = published.PublishedItem
+OWN = "own-1"
+FIRST, SECOND = "booth-1", "booth-2"
+HOSTS = {OWN: "127.0.0.1", FIRST: "127.0.0.2", SECOND: "127.0.0.3"}
+SERVICES = {OWN: "ledger", FIRST: "booth", SECOND: "booth"}
+PEER_PORT = 7620
+
+
+class FixedSource(published.ItemSource):
+    """A source whose state the test sets."""
+
+    def __init__(self) -> None:
+        self.age = 0.0
+        self.returned = -1e9
+
+    def start(self) -> None:
+        """Nothing is read."""
+
+    def stop(self) -> None:
+        """Nothing is read."""
+
+    def age_ms(self) -> float:
+        return self.age
+
+    def returned_at_ms(self) -> float:
+        return self.returned
+
+
+class LocalMesh:
+    """A node of the ledger that knows its own instance and two booths."""
+
+    def __init__(self) -> None:
+        self.reactor = task.Clock()
+        self.reactor.advance(1_000.0)
+        self.clock = local_node.ReactorClock(self.reactor)
+        self.source = FixedSource()
+        self.node = mesh.MeshNode(
+            self.reactor,
+            self.clock,
+            random.Random(5),
+            platform.load_settings(documents.SETTINGS.encode()).unwrap(),
+            platform.HEADERS,
+            platform.PlatformDecoder(),
+            lambda state: self.source,
+        )
+        self.parts = self.node.parts
+        self.pool, self.target = local_node.FakePool(), local_node.FakeTarget()
+        self.parts.pool = self.pool  # type: ignore[assignment]
+        self.parts.target = self.target  # type: ignore[assignment]
+        self.node.own_peer_address = lambda: settings.Address(  # type: ignore[method-assign]
+            "127.0.0.1", PEER_PORT
+        )
+        self.node.exchange.own_address = self.node.own_peer_address
+        self.node.state.observers.append(self.parts.configuration.take)
+        self.node.state.observers.append(self.node.take_instances)
+        self.revision = 0
+        self.site = _egress_site.EgressSite(self.parts)
+        self.peers = _peer_calls.PeerCalls(self.parts)
+        self.peers.exchange = self.node.exchange
+        self.replies: list[edge.EdgeReply] = []
+        self.answers: list[calls.CallAnswer] = []
+        self.publish("op/config", documents.encode(documents.CONFIGURATION))
+        for name in HOSTS:
+            self.list_instance(name)
+
+    def publish(self, key: str, value: bytes | None) -> None:
+        """Let the node read a changed item."""
+        self.revision += 1
+        items = (Item(key, self.revision, value),)
+        self.node.state.apply(published.Changes(self.revision, items, False))
+
+    def list_instance(self, name: str, **changes: Any) -> None:
+        entry = {
+            "service": SERVICES.get(name, "booth"),
+            "address": f"{HOSTS.get(name, '127.0.0.9')}:8301",
+            **changes,
+        }
+        self.publish(f"servers/{name}", documents.encode(documents.INSTANCE, **entry))
+
+    def remove_instance(self, name: str) -> None:
+        self.publish(f"servers/{name}", None)
+
+    def ask(
+        self, path: str = "/book/1", host: str = "a.example", **control: str
+    ) -> Callable[[], None]:
+        """Send a request of a client; return the function that cancels it."""
+        named = {"jujubetiller-request-id": "r1"}
+        named |= {f"jujubetiller-{k.replace('_', '-')}": v for k, v in control.items()}
+        message = edge.EdgeMessage(
+            "POST", path, (("host", host), ("accept", "*/*")), named, b"body"
+        )
+        return self.site.handle(message, self.replies.append)
+
+    def receive(self, **changes: Any) -> Callable[[], None]:
+        """Take a call of a peer; return the function that cancels it."""
+        request = calls.CallRequest(
+            service="ledger",
+            method="GET",
+            path="/read/1",
+            kind="read",
+            priority_class=2,
+            rank=256,
+            idempotent=True,
+            deadline_left_ms=500.0,
+            retry_tokens=0,
+            tree_id="",
+            depth=0,
+            attempt=1,
+            headers=(("jujubetiller-request-id", "r1"),),
+            expected_instance=OWN,
+        )
+        request = attrs.evolve(request, **changes)
+        return self.peers.handle_call(request, self.answers.append)
+
+    def answer(
+        self, code: codes.ResultCode = codes.ResultCode.ANSWERED, status: int = 200
+    ) -> None:
+        """Answer the newest call at a peer."""
+        answer = calls.make_refusal(code)
+        answer.status = status
+        answer.headers = (("jujubetiller-server-stamp", "s"),)
+        answer.body = b"done"
+        self.pool.calls[-1].reply(answer)
+
+    def outstanding(self) -> int:
+        pools = self.parts.router.pools.values()
+        return sum(stats.outstanding for pool in pools for stats in pool.stats.values())
--- /dev/null
+++ b/tests/mesh/test_ingress.py
@@ -0,0 +1,75 @@
+"""Guards against answers of the target that are taken for what they are not."""
+
+import pytest
+
+from jujubetiller import codes, target
+from tests.mesh import local_mesh
+
+Code = codes.ResultCode
+STAMP = ("Jujubetiller-Server-Stamp", "s")
+NOT_RUN = ("Jujubetiller-Not-Executed", "1")
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "code"),
+    [
+        (200, (STAMP,), Code.ANSWERED),
+        (500, (STAMP,), Code.ANSWERED),
+        (503, (STAMP,), Code.ANSWERED),
+        (503, (NOT_RUN,), Code.TARGET_SHED),
+        (429, (NOT_RUN,), Code.TARGET_SHED),
+        (421, (), Code.WRONG_SERVICE),
+        (421, (NOT_RUN,), Code.WRONG_SERVICE),
+        (200, (), Code.ANSWER_INCOMPLETE),
+    ],
+)
+def test_what_the_target_says_decides(
+    status: int, headers: tuple[tuple[str, str], ...], code: codes.ResultCode
+) -> None:
+    node = local_mesh.LocalMesh()
+    node.receive()
+    node.target.requests[-1].answer(status, *headers)
+    assert node.answers[0].code is code
+    assert node.parts.guard.in_flight == 0
+
+
+def test_the_target_learns_the_time_left_and_who_is_meant() -> None:
+    node = local_mesh.LocalMesh()
+    node.receive()
+    request = node.target.requests[-1].request
+    headers = dict(request.headers)
+    assert 490 <= int(headers["jujubetiller-deadline-ms"]) <= 500
+    assert headers["jujubetiller-expected-instance"] == local_mesh.OWN
+    assert request.echo == ("jujubetiller-request-id", "r1")
+
+
+def test_calls_beyond_the_slots_of_the_instance_wait() -> None:
+    node = local_mesh.LocalMesh()
+    for _ in range(40):
+        node.receive()
+    slots = node.parts.guard.limit
+    assert len(node.target.requests) == slots < 40
+    node.target.requests[0].answer(200, STAMP)
+    assert len(node.target.requests) == slots + 1
+
+
+def test_a_cancelled_call_is_cancelled_at_the_target() -> None:
+    node = local_mesh.LocalMesh()
+    node.receive()()
+    assert node.target.requests[-1].cancelled == 1
+    assert node.parts.guard.in_flight == 0
+
+
+def test_a_call_for_another_service_is_refused() -> None:
+    node = local_mesh.LocalMesh()
+    node.receive(service="booth")
+    assert node.answers[0].code is Code.WRONG_SERVICE
+    assert node.target.requests == []
+
+
+def test_a_lost_answer_of_the_target_is_unknown() -> None:
+    node = local_mesh.LocalMesh()
+    node.receive()
+    lost = target.TargetResponse(Code.TARGET_CLOSED_EARLY)
+    node.target.requests[-1].on_end(lost)
+    assert node.answers[0].outcome is codes.Outcome.UNKNOWN
--- /dev/null
+++ b/tests/mesh/test_published_changes.py
@@ -0,0 +1,132 @@
+"""Guards against nodes that revert, follow instances that are gone, or stay behind."""
+
+import attrs
+
+from jujubetiller import published, settings
+from jujubetiller.mesh import _state_message
+from tests.mesh import local_mesh
+from tests.platform import documents
+
+OLD = documents.encode(documents.CONFIGURATION, version="0000000b", listeners=[])
+NEW = documents.encode(documents.CONFIGURATION, version="0000000d", listeners=[])
+
+
+def names(node: local_mesh.LocalMesh) -> set[str]:
+    """Return the instances that may get calls."""
+    pools = node.parts.router.pools.values()
+    return {
+        stats.instance.instance for pool in pools for stats in (*pool.own, *pool.others)
+    }
+
+
+def test_an_older_version_never_comes_back() -> None:
+    node = local_mesh.LocalMesh()
+    node.publish("op/config", OLD)
+    assert node.parts.configuration.version == 12
+    node.publish("op/config", NEW)
+    assert node.parts.configuration.version == 13
+
+
+def test_a_bad_configuration_leaves_the_last_good_one() -> None:
+    node = local_mesh.LocalMesh()
+    node.publish("op/config", b"{")
+    node.publish("op/config", None)
+    assert node.parts.configuration.version == 12
+    assert node.parts.configuration.rejected == 1
+
+
+def test_a_draining_instance_gets_no_more_calls() -> None:
+    node = local_mesh.LocalMesh()
+    node.list_instance(local_mesh.FIRST, state="draining")
+    assert local_mesh.FIRST not in names(node)
+
+
+def test_a_removal_counts_at_once_while_the_store_is_well() -> None:
+    node = local_mesh.LocalMesh()
+    node.remove_instance(local_mesh.FIRST)
+    assert local_mesh.FIRST not in names(node)
+
+
+def test_a_removal_waits_while_the_store_has_just_come_back() -> None:
+    """Guards against an empty fleet after an outage in which entries lapsed."""
+    node = local_mesh.LocalMesh()
+    node.source.returned = node.clock.now_ms()
+    node.remove_instance(local_mesh.FIRST)
+    node.remove_instance(local_mesh.SECOND)
+    assert local_mesh.FIRST in names(node)
+    node.list_instance(local_mesh.FIRST)
+    node.reactor.advance(2.6)
+    node.parts.directory.apply_removals()
+    assert local_mesh.FIRST in names(node)
+    assert local_mesh.SECOND not in names(node)
+
+
+def test_a_settled_peer_vouches_for_a_removal() -> None:
+    """Guards against calls to an instance whose leaving only peers could read."""
+    node = local_mesh.LocalMesh()
+    node.source.age = 60_000.0
+    node.remove_instance(local_mesh.FIRST)
+    assert local_mesh.FIRST in names(node)
+    node.node.settling.vouch()
+    node.parts.directory.apply_removals()
+    assert local_mesh.FIRST not in names(node)
+
+
+def test_the_last_instance_at_an_address_gets_the_calls() -> None:
+    """Guards against calls to a lifetime whose address was given away."""
+    node = local_mesh.LocalMesh()
+    born = documents.INSTANCE["born"] + 1
+    node.list_instance(
+        "swatch-9", service="swatch", address="127.0.0.2:8301", born=born
+    )
+    assert local_mesh.FIRST not in names(node)
+    assert "swatch-9" in names(node)
+
+
+def test_an_entry_of_another_writer_names_no_instance() -> None:
+    node = local_mesh.LocalMesh()
+    node.publish("servers/other", b'{"service": 5}')
+    assert "other" not in names(node)
+    assert node.parts.directory.rejected == 1
+
+
+def test_the_slots_of_the_own_instance_bound_the_guard() -> None:
+    node = local_mesh.LocalMesh()
+    before = node.parts.guard.limit
+    node.list_instance(local_mesh.OWN, capacity=10)
+    assert node.parts.guard.limit < before
+
+
+def test_nodes_bring_each_other_up_to_date() -> None:
+    """Guards against a node that the store turns away after its restart."""
+    known, restarted = local_mesh.LocalMesh(), local_mesh.LocalMesh()
+    restarted.node.state.items.clear()
+    restarted.node.state.revision = 0
+    restarted.parts.directory.listed.clear()
+    restarted.parts.configuration.current = None
+    restarted.source.age = -1.0
+    assert not restarted.parts.is_ready()
+    known.node.exchange.ask(settings.Address("127.0.0.2", local_mesh.PEER_PORT))
+    question = known.pool.calls[-1].request
+    body = attrs.evolve(
+        _state_message.decode_request(question.body).unwrap(),
+        sender=settings.Address("127.0.0.9", local_mesh.PEER_PORT),
+    ).encode()
+    restarted.peers.handle_call(
+        attrs.evolve(question, body=body), restarted.answers.append
+    )
+    restarted.reactor.advance(0.01)
+    back = restarted.pool.calls[-1]
+    assert back.address == settings.Address("127.0.0.9", local_mesh.PEER_PORT)
+    known.peers.handle_call(back.request, back.reply)
+    assert restarted.parts.is_ready()
+    assert restarted.node.state.items == known.node.state.items
+
+
+def test_bytes_of_a_peer_that_are_no_state_are_refused() -> None:
+    for body in (b"", b"\xc1", b"\x91\x01", b"\xa3abc"):
+        assert _state_message.decode_request(body).is_err()
+        assert _state_message.decode_answer(body).is_err()
+    changes = published.Changes(7, (local_mesh.Item("a", 7, None),), True)
+    answer = _state_message.StateAnswer(changes, True)
+    assert _state_message.decode_answer(answer.encode()).unwrap() == answer
--- /dev/null
+++ b/tests/mesh/test_requests.py
@@ -0,0 +1,194 @@
+"""Guards against requests that run twice, are refused falsely or are never answered."""
+
+import pytest
+
+from jujubetiller import codes
+from tests.mesh import local_mesh
+
+Code = codes.ResultCode
+UNKNOWN_CODES = (
+    Code.STREAM_LOST,
+    Code.ANSWER_INCOMPLETE,
+    Code.TARGET_CLOSED_EARLY,
+)
+NEVER_ARRIVED_CODES = (
+    Code.QUEUE_FULL,
+    Code.QUEUE_DEADLINE,
+    Code.PEER_UNREACHABLE,
+    Code.UNDELIVERED,
+    Code.DRAINING,
+    Code.TARGET_UNREACHABLE,
+)
+
+
+def test_an_answer_of_the_instance_is_passed_on_unchanged() -> None:
+    node = local_mesh.LocalMesh()
+    node.ask()
+    node.answer(status=207)
+    (reply,) = node.replies
+    assert (reply.status, reply.body) == (207, b"done")
+    assert ("jujubetiller-server-stamp", "s") in reply.headers
+    assert node.outstanding() == 0
+    assert node.parts.state.requests_under_way == 0
+
+
+def test_a_call_names_its_instance_and_the_service_where_it_began() -> None:
+    node = local_mesh.LocalMesh()
+    node.ask(caller_service="forged", expected_instance="forged", other="kept")
+    sent = node.pool.calls[-1]
+    assert sent.request.expected_instance in (local_mesh.FIRST, local_mesh.SECOND)
+    named = [pair for pair in sent.request.headers if "caller" in pair[0]]
+    assert named == [("jujubetiller-caller-service", "ledger")]
+    assert ("jujubetiller-other", "kept") in sent.request.headers
+    assert not any("expected" in name for name, _ in sent.request.headers)
+
+
+@pytest.mark.parametrize("code", UNKNOWN_CODES)
+def test_a_non_idempotent_request_that_may_have_run_is_not_sent_again(
+    code: codes.ResultCode,
+) -> None:
+    """Guards against a booking that runs twice."""
+    node = local_mesh.LocalMesh()
+    node.ask("/book/1")
+    node.answer(code)
+    assert len(node.pool.calls) == 1
+    assert node.replies[0].status == 502
+
+
+@pytest.mark.parametrize("code", UNKNOWN_CODES)
+def test_an_idempotent_request_is_sent_to_a_second_instance(
+    code: codes.ResultCode,
+) -> None:
+    node = local_mesh.LocalMesh()
+    node.list_instance("ledger-2", service="ledger", address="127.0.0.8:8301")
+    node.remove_instance(local_mesh.OWN)
+    node.list_instance("ledger-3", service="ledger", address="127.0.0.7:8301")
+    node.ask("/read/1")
+    while node.pool.calls[-1].request.service != "ledger":
+        node.ask("/read/1")
+    first = node.pool.calls[-1]
+    node.answer(code)
+    second = node.pool.calls[-1]
+    assert second.request.expected_instance != first.request.expected_instance
+    node.answer()
+    assert node.replies[-1].status == 200
+
+
+@pytest.mark.parametrize("code", NEVER_ARRIVED_CODES)
+def test_a_request_that_never_arrived_is_placed_again_without_budget(
+    code: codes.ResultCode,
+) -> None:
+    node = local_mesh.LocalMesh()
+    node.ask("/book/1")
+    first = node.pool.calls[-1].request.expected_instance
+    node.answer(code)
+    assert node.pool.calls[-1].request.expected_instance != first
+    assert node.parts.budget.try_repeat("booth")
+    node.answer()
+    assert node.replies[-1].status == 200
+
+
+def test_a_refusal_everywhere_tells_when_to_come_back() -> None:
+    node = local_mesh.LocalMesh()
+    node.ask("/book/1")
+    for _ in range(3):
+        node.answer(Code.QUEUE_FULL)
+    (reply,) = node.replies
+    assert reply.status == 503
+    assert 0 < float(dict(reply.headers)["Retry-After"]) < 2
+
+
+def test_after_an_unknown_attempt_a_refusal_claims_nothing() -> None:
+    """Guards against "not run" for a request that may have run (REFUSED)."""
+    node = local_mesh.LocalMesh()
+    node.list_instance("ledger-2", service="ledger", address="127.0.0.8:8301")
+    node.remove_instance(local_mesh.OWN)
+    node.list_instance("ledger-3", service="ledger", address="127.0.0.7:8301")
+    while not node.pool.calls or node.pool.calls[-1].request.service != "ledger":
+        node.ask("/read/1")
+    node.answer(Code.STREAM_LOST)
+    for _ in range(3):
+        node.answer(Code.QUEUE_FULL)
+    assert node.replies[-1].status == 502
+
+
+def test_attempts_that_reach_instances_are_bounded_by_the_route() -> None:
+    node = local_mesh.LocalMesh()
+    node.list_instance("booth-3", address="127.0.0.4:8301")
+    node.ask("/book/1")
+    node.answer(Code.TARGET_SHED)
+    node.answer(Code.TARGET_SHED)
+    assert len(node.pool.calls) == 2
+    assert node.replies[0].status == 503
+
+
+def test_the_budget_bounds_second_attempts() -> None:
+    """Guards against repeats that keep an overload going (BUDGET)."""
+    node = local_mesh.LocalMesh()
+    repeated = 0
+    for _ in range(50):
+        node.ask("/book/1")
+        before = len(node.pool.calls)
+        node.answer(Code.TARGET_SHED)
+        if len(node.pool.calls) > before:
+            repeated += 1
+            node.answer(Code.TARGET_SHED)
+    assert repeated <= 5
+
+
+def test_a_misdirected_request_goes_to_another_instance() -> None:
+    node = local_mesh.LocalMesh()
+    node.ask("/book/1")
+    node.answer(Code.WRONG_SERVICE)
+    node.answer()
+    assert node.replies[0].status == 200
+
+
+def test_a_client_that_leaves_cancels_the_attempt() -> None:
+    node = local_mesh.LocalMesh()
+    cancel = node.ask("/book/1")
+    cancel()
+    assert node.pool.calls[-1].cancelled == 1
+    node.answer()
+    assert node.replies == []
+    assert (node.outstanding(), node.parts.state.requests_under_way) == (0, 0)
+
+
+@pytest.mark.parametrize(
+    ("given", "left_ms"), [("300", 300.0), ("9000", 800.0), ("x", 800.0), ("", 800.0)]
+)
+def test_the_deadline_is_the_shorter_of_the_client_and_the_route(
+    given: str, left_ms: float
+) -> None:
+    node = local_mesh.LocalMesh()
+    node.ask("/book/1", deadline_ms=given)
+    assert node.pool.calls[-1].request.deadline_left_ms == pytest.approx(left_ms)
+
+
+@pytest.mark.parametrize(
+    ("path", "host"), [("/none/1", "a.example"), ("/book/1", "b.example")]
+)
+def test_a_request_without_a_route_is_not_found(path: str, host: str) -> None:
+    node = local_mesh.LocalMesh()
+    node.ask(path, host)
+    assert node.replies[0].status == 404
+
+
+def test_a_node_without_a_configuration_answers_unavailable() -> None:
+    """Guards against 404 for a route that the node has not read yet (DENIED)."""
+    node = local_mesh.LocalMesh()
+    node.parts.configuration.current = None
+    node.ask("/none/1")
+    assert node.replies[0].status == 503
+    assert "Retry-After" in dict(node.replies[0].headers)
+
+
+def test_a_draining_node_is_tried_again_later() -> None:
+    """Guards against an instance that is lost when only its node restarts."""
+    node = local_mesh.LocalMesh()
+    node.remove_instance(local_mesh.SECOND)
+    node.ask("/book/1")
+    node.answer(Code.DRAINING)
+    node.reactor.advance(1.0)
+    node.ask("/book/2")
+    assert node.pool.calls[-1].request.expected_instance == local_mesh.FIRST
--- /dev/null
+++ b/tests/platform/test_decoder.py
@@ -0,0 +1,153 @@
+"""Guards against published items that are misread, and bad ones that get through."""
+
+from typing import Any
+
+import pytest
+import result
+
+from jujubetiller import codes, platform, published, routes, settings
+from tests.platform import documents
+
+DECODER = platform.PlatformDecoder()
+
+
+def make_item(key: str, value: bytes) -> published.PublishedItem:
+    return published.PublishedItem(key, 7, value)
+
+
+def test_an_entry_of_an_instance_is_read_whole() -> None:
+    item = make_item("servers/i-1", documents.encode(documents.INSTANCE))
+    assert DECODER.instance_of(item.key) == "i-1"
+    assert DECODER.decode_instance(item).unwrap() == published.PublishedInstance(
+        "i-1",
+        "ledger",
+        "a",
+        settings.Address("127.0.0.1", 8301),
+        29,
+        False,
+        1500.0,
+        1_700_000_000_000,
+    )
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("service", None),
+        ("service", 5),
+        ("service", ""),
+        ("address", "127.0.0.1"),
+        ("address", "name.example:80"),
+        ("address", "127.0.0.1:99999"),
+        ("zone", []),
+        ("capacity", 0),
+        ("capacity", "29"),
+        ("capacity", True),
+        ("state", "gone"),
+        ("state", None),
+        ("warmup_left", "soon"),
+        ("born", -1),
+        ("born", "1"),
+    ],
+)
+def test_a_wrong_field_of_an_entry_is_named(field: str, value: Any) -> None:
+    item = make_item(
+        "servers/i-1", documents.encode(documents.INSTANCE, **{field: value})
+    )
+    decoded = DECODER.decode_instance(item)
+    assert isinstance(decoded, result.Err)
+    assert decoded.err_value.code is codes.ResultCode.BAD_ITEM
+    assert decoded.err_value.field.startswith("servers/i-1.")
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[1]", b'"x"', b"{", b"null"])
+def test_bytes_that_are_no_document_are_a_problem(value: bytes) -> None:
+    assert DECODER.decode_instance(make_item("servers/i", value)).is_err()
+    assert DECODER.decode_configuration(make_item("op/config", value)).is_err()
+
+
+def test_a_configuration_is_read_whole() -> None:
+    item = make_item("op/config", documents.encode(documents.CONFIGURATION))
+    assert DECODER.is_configuration(item.key)
+    configuration = DECODER.decode_configuration(item).unwrap()
+    assert configuration.version == 12
+    assert configuration.services == {"ledger", "booth"}
+    assert configuration.routes == (
+        routes.Route(
+            "read",
+            "a.example",
+            "/read/",
+            (routes.Destination("ledger", 90), routes.Destination("booth", 10)),
+            True,
+            5000.0,
+            1200.0,
+            2,
+            2,
+        ),
+        routes.Route(
+            "book",
+            "a.example",
+            "/book/",
+            (routes.Destination("booth"),),
+            False,
+            800.0,
+            1500.0,
+            2,
+            0,
+        ),
+    )
+    assert configuration.bounds == routes.RequestBounds()
+
+
+@pytest.mark.parametrize(
+    ("place", "field", "value"),
+    [
+        ("rule", "kind", "often"),
+        ("rule", "match", {"prefix": "read"}),
+        ("rule", "name", None),
+        ("action", "timeout", "5 minutes"),
+        ("action", "max_attempts", 0),
+        ("action", "weighted_services", [{"service": "ledger"}]),
+        ("action", "service", None),
+    ],
+)
+def test_a_wrong_field_of_a_rule_rejects_the_version(
+    place: str, field: str, value: Any
+) -> None:
+    listener = documents.CONFIGURATION["listeners"][0]
+    rule = listener["rules"][1]
+    if place == "rule":
+        changed = {**rule, field: value}
+    else:
+        changed = {**rule, "action": {**rule["action"], field: value}}
+    document = documents.encode(
+        documents.CONFIGURATION, listeners=[{**listener, "rules": [changed]}]
+    )
+    assert DECODER.decode_configuration(make_item("op/config", document)).is_err()
+
+
+def test_settings_are_read_and_unknown_fields_are_ignored() -> None:
+    loaded = platform.load_settings(documents.SETTINGS.encode()).unwrap()
+    assert loaded.node == "sidecar-a-1"
+    assert loaded.listen.peer == settings.Address("127.0.0.1", 7620)
+    assert loaded.target.address == settings.Address("127.0.0.1", 8301)
+    assert loaded.store.address == settings.Address("127.0.0.9", 8309)
+    assert loaded.grace_ms == 6_000
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "field"),
+    [
+        ('zone = "a"', "", "zone"),
+        ('grace = "6s"', 'grace = "six"', "grace"),
+        ("[7620, 7635]", "[7620]", "port_range"),
+        ("127.0.0.1:8304", "localhost:8304", "host"),
+        ("[platform]", "[plat]", "platform"),
+        ("ip =", "ip", "document"),
+    ],
+)
+def test_a_wrong_setting_is_named(old: str, new: str, field: str) -> None:
+    loaded = platform.load_settings(documents.SETTINGS.replace(old, new).encode())
+    assert isinstance(loaded, result.Err)
+    assert loaded.err_value.code is codes.ResultCode.BAD_SETTINGS
+    assert loaded.err_value.field == field
--- /dev/null
+++ b/tests/published/test_published_state.py
@@ -0,0 +1,81 @@
+"""Guards against published items that revert, come back or get lost between nodes."""
+
+import random
+
+import hypothesis
+import hypothesis.strategies as st
+
+from jujubetiller import published
+
+Item = published.PublishedItem
+
+
+def changes(revision: int, *items: Item, listing: bool = False) -> published.Changes:
+    return published.Changes(revision, items, listing)
+
+
+def test_an_older_revision_changes_nothing() -> None:
+    state = published.PublishedState()
+    seen: list[list[Item]] = []
+    state.observers.append(seen.append)
+    state.apply(changes(5, Item("a", 5, b"new"), listing=True))
+    state.apply(changes(4, Item("a", 4, b"old")))
+    state.apply(changes(5, Item("a", 5, b"same")))
+    assert state.items["a"].value == b"new"
+    assert len(seen) == 1
+
+
+def test_a_removed_key_does_not_come_back_by_an_older_write() -> None:
+    state = published.PublishedState()
+    state.apply(changes(5, Item("a", 5, b"x"), listing=True))
+    state.apply(changes(7, Item("a", 7, None)))
+    state.apply(changes(6, Item("a", 6, b"late")))
+    assert state.items == {}
+    state.apply(changes(8, Item("a", 8, b"back")))
+    assert state.items["a"].value == b"back"
+
+
+def test_a_listing_removes_what_it_lacks_unless_it_changed_since() -> None:
+    state = published.PublishedState()
+    state.apply(changes(2, Item("a", 1, b"x"), Item("b", 2, b"y"), listing=True))
+    state.apply(changes(9, Item("b", 9, b"newer")))
+    state.apply(changes(6, listing=True))
+    assert list(state.items) == ["b"]
+
+
+def test_a_reader_that_is_behind_the_listing_gets_a_listing() -> None:
+    state = published.PublishedState()
+    state.apply(changes(10, Item("a", 3, b"x"), listing=True))
+    assert state.changes_since(0).is_listing
+    assert not state.changes_since(10).is_listing
+    assert state.changes_since(10).items == ()
+
+
+def test_dropped_removals_make_listings_necessary() -> None:
+    state = published.PublishedState(max_removed=2)
+    state.apply(changes(1, *[Item(str(n), 1, b"") for n in range(4)], listing=True))
+    for number in range(4):
+        state.apply(changes(10 + number, Item(str(number), 10 + number, None)))
+    assert len(state.removed) == 2
+    assert state.changes_since(10).is_listing
+    assert not state.changes_since(11).is_listing
+
+
+@hypothesis.given(st.integers(0, 2**32))
+@hypothesis.settings(max_examples=60, derandomize=True, deadline=None)
+def test_nodes_that_hear_parts_in_any_order_end_alike(seed: int) -> None:
+    """Guards against nodes that differ for good after cuts of the store."""
+    source = random.Random(seed)
+    store = published.PublishedState()
+    store.apply(changes(1, listing=True))
+    nodes = [published.PublishedState() for _ in range(3)]
+    for revision in range(2, 30):
+        value = None if source.random() < 0.3 else str(revision).encode()
+        store.apply(changes(revision, Item(source.choice("abc"), revision, value)))
+        reader = source.choice(nodes)
+        teller = source.choice([store, *nodes])
+        if teller is not reader and teller.revision >= reader.revision:
+            reader.apply(teller.changes_since(reader.revision))
+    for node in nodes:
+        node.apply(store.changes_since(node.revision))
+        assert node.items == store.items
