Refuse at the entry what a full service would fail, and give up lost answers

Answers tell the queueing delay that calls meet, hop by hop. A route whose requests fail while queues are long admits a smaller share; the least important routes are cut first. Calls that only instances make are exempt. An idempotent attempt that takes six times as long as usual is repeated elsewhere unless queues explain it.

--- a/src/jujubetiller/calls/_call_answer.py
+++ b/src/jujubetiller/calls/_call_answer.py
@@ -32,3 +32,9 @@
 
     key: str = ""
     """The execution key that the call ran under."""
+
+    queue_delay_ms: float = 0.0
+    """The longest queueing delay that the call and those below it meet at present."""
+
+    is_nested: bool = False
+    """Whether calls of this kind come from instances and not from clients."""
--- a/src/jujubetiller/codes/_code_table.py
+++ b/src/jujubetiller/codes/_code_table.py
@@ -216,6 +216,13 @@
         "The retry token was already presented to this node; the attempt that it "
         "was presented with may have run.",
     ),
+    (
+        _Code.ANSWER_OVERDUE,
+        _UNKNOWN,
+        504,
+        True,
+        "The answer took many times as long as usual and was given up.",
+    ),
     (_Code.BAD_SETTINGS, _NOT_RUN, 400, False, "The settings are not valid."),
     (_Code.BAD_TICKET, _NOT_RUN, 400, False, "The change ticket is not valid."),
     (_Code.BAD_REQUEST, _NOT_RUN, 400, False, "The HTTP request is not valid."),
--- /dev/null
+++ b/src/jujubetiller/congestion/_throttles.py
@@ -0,0 +1,39 @@
+"""The throttles of all routes."""
+
+import random
+
+from jujubetiller import clock
+from jujubetiller.congestion import _route_throttle
+
+MOST_ROUTES = 4_096
+
+LOWEST_TOLERANCE = 0.03
+"""Share of failures of the least important routes that is borne."""
+
+TOLERANCE_STEP = 0.12
+"""What each class above the least important one bears more."""
+
+LEAST_IMPORTANT_CLASS = 2
+
+
+class Throttles:
+    """Holds a throttle for each route that has requests, within a bound."""
+
+    def __init__(self, time_source: clock.Clock, random_source: random.Random) -> None:
+        self.clock = time_source
+        self.random = random_source
+        self.by_route: dict[str, _route_throttle.RouteThrottle] = {}
+        self.refused = 0
+
+    def find(self, route: str, priority_class: int) -> _route_throttle.RouteThrottle:
+        """Return the throttle of a route."""
+        throttle = self.by_route.get(route)
+        if throttle is None:
+            if len(self.by_route) >= MOST_ROUTES:
+                self.by_route.pop(next(iter(self.by_route)))
+            steps = max(0, LEAST_IMPORTANT_CLASS - priority_class)
+            throttle = _route_throttle.RouteThrottle(
+                self.clock, self.random, LOWEST_TOLERANCE + TOLERANCE_STEP * steps
+            )
+            self.by_route[route] = throttle
+        return throttle
--- a/src/jujubetiller/mesh/_attempt_policy.py
+++ b/src/jujubetiller/mesh/_attempt_policy.py
@@ -59,6 +59,10 @@
             return NextStep.FINISH
         return NextStep.REPEAT
 
+    def may_follow_up(self) -> bool:
+        """Return whether an attempt without an answer could be given up."""
+        return self.idempotent and self.arrivals + 1 < self.max_attempts
+
     def may_place(self) -> bool:
         """Return whether another node may be asked."""
         return self.placements < MAX_PLACEMENTS
--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -1,6 +1,7 @@
 """One request that entered at this node."""
 
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 import logbook
@@ -13,6 +14,17 @@
 _LOG = logbook.Logger("jujubetiller.mesh.request")
 _LOWEST_FAILURE_STATUS = 500
 
+LATE_FAILURE = 0.5
+"""What an answer beyond the latency objective counts as."""
+
+PATIENCE = 6.0
+"""An attempt that takes this many times as long as usual may have lost its answer."""
+
+LEAST_PATIENCE_MS = 150.0
+
+PATIENT_DELAY_MS = 20.0
+"""While calls meet longer queues, slow answers are no sign of a loss."""
+
 # Codes of a node that stops or is gone; its instance may live on.
 _NODE_IS_AWAY = frozenset((_Code.DRAINING, _Code.PEER_UNREACHABLE))
 
@@ -28,7 +40,9 @@
         "instance",
         "message",
         "outcome",
+        "queue_delay_ms",
         "parts",
+        "patience",
         "reply",
         "request",
         "request_id",
@@ -36,6 +50,7 @@
         "sent_at_ms",
         "service",
         "started_at_ms",
+        "throttle",
     )
 
     def __init__(
@@ -58,12 +73,22 @@
         self.outcome = retries.RequestOutcome()
         self.excluded: frozenset[str] = frozenset()
         self.instance: routing.RoutableInstance | None = None
+        self.throttle = parts.throttles.find(route.name, route.priority_class)
+        self.queue_delay_ms = 0.0
+        """The longest queueing delay that answers to this request told of."""
+
         self.sent_at_ms = 0.0
         self.cancel_attempt: Callable[[], None] | None = None
+        self.patience: Any = None
+        """The timer after which a silent attempt is given up for another one."""
 
     def start(self) -> None:
         """Make the first attempt."""
         self.parts.state.requests_under_way += 1
+        if not self.throttle.admits():
+            self.parts.throttles.refused += 1
+            self.finish(calls.make_refusal(_Code.OVERLOADED_DOWNSTREAM))
+            return
         self.parts.budget.record_request(self.service)
         self.attempt()
 
@@ -89,7 +114,8 @@
         )
         self.request.attempt += 1
         self.parts.router.sent(instance)
-        own = self.parts.directory.own()
+        self.arm_patience()
+        own = self.parts.directory.own
         if own is not None and own.instance == instance.instance:
             local = _ingress_call.IngressCall(self.parts, request, self.answered)
             self.cancel_attempt = local.cancel
@@ -100,13 +126,51 @@
         )
         self.cancel_attempt = outgoing.cancel
 
+    def arm_patience(self) -> None:
+        """Watch for an attempt whose answer may be lost, if it could be repeated."""
+        if not self.attempts.may_follow_up():
+            return
+        usual_ms = self.parts.router.usual_ms(self.service, self.route.name)
+        if usual_ms is None:
+            return
+        patience_ms = max(LEAST_PATIENCE_MS, PATIENCE * usual_ms)
+        if patience_ms + usual_ms < self.deadline.left_ms(self.parts.clock):
+            self.patience = self.parts.reactor.callLater(
+                patience_ms / 1000.0, self.lose_patience
+            )
+
+    def lose_patience(self) -> None:
+        """Give up a silent attempt for another instance, unless queues explain it."""
+        self.patience = None
+        cancel = self.cancel_attempt
+        if cancel is None or self.parts.delays.read() > PATIENT_DELAY_MS:
+            return
+        if not self.parts.budget.may_repeat(self.service):
+            return
+        self.cancel_attempt = None
+        instance, self.instance = self.instance, None
+        cancel()
+        self.instance = instance
+        self.answered(calls.make_refusal(_Code.ANSWER_OVERDUE))
+
+    def disarm_patience(self) -> None:
+        """Stop to watch the attempt, which has ended."""
+        patience, self.patience = self.patience, None
+        if patience is not None:
+            patience.cancel()
+
     def answered(self, answer: calls.CallAnswer) -> None:
         """Take in the end of an attempt, then finish or send again."""
         instance = self.instance
         if self.reply is None or instance is None:
             return
         self.cancel_attempt = None
+        self.disarm_patience()
         self.tell_router(instance, answer)
+        self.parts.delays.record(answer.queue_delay_ms)
+        self.queue_delay_ms = max(self.queue_delay_ms, answer.queue_delay_ms)
+        if answer.is_nested:
+            self.throttle.exempt = True
         self.instance = None
         report = self.outcome.add(answer)
         left_ms = self.deadline.left_ms(self.parts.clock)
@@ -149,8 +213,17 @@
         )
         self.parts.metrics.count_refusal(answer.code.value)
         self.log_end(answer, edge_reply.status, took_ms)
+        if self.request.attempt > 1:
+            failure = self.rate_failure(edge_reply.status, took_ms)
+            self.throttle.record(failure, self.queue_delay_ms)
         reply(edge_reply)
 
+    def rate_failure(self, status: int, took_ms: float) -> float:
+        """Return 1 for a failure, a part of it for a late answer, else 0."""
+        if status >= _LOWEST_FAILURE_STATUS:
+            return 1.0
+        return LATE_FAILURE * (took_ms > self.route.latency_objective_ms)
+
     def log_end(self, answer: calls.CallAnswer, status: int, took_ms: float) -> None:
         """Write what decided, unless all went well within the objective."""
         if (
@@ -172,6 +245,8 @@
                 "arrivals": self.attempts.arrivals,
                 "excluded": sorted(self.excluded),
                 "took_ms": round(took_ms, 1),
+                "queue_delay_ms": round(self.queue_delay_ms, 1),
+                "admitted_share": round(self.throttle.share, 2),
                 "left_ms": round(self.deadline.left_ms(self.parts.clock), 1),
                 "version": self.parts.configuration.version,
             },
@@ -182,6 +257,7 @@
         if self.reply is None:
             return
         self.reply = None
+        self.disarm_patience()
         self.parts.state.requests_under_way -= 1
         if self.instance is not None:
             self.parts.router.answered(
--- a/src/jujubetiller/mesh/_ingress_call.py
+++ b/src/jujubetiller/mesh/_ingress_call.py
@@ -11,6 +11,11 @@
 MISDIRECTED_STATUS = 421
 LEAST_DEADLINE_MS = 1
 
+REFUSED_DELAY_MS = 100.0
+"""The least delay that a refusal for load counts as."""
+
+_LOAD_CODES = frozenset((_Code.QUEUE_FULL, _Code.QUEUE_EVICTED, _Code.QUEUE_DEADLINE))
+
 
 class IngressCall:
     """Runs one call at the target and replies once."""
@@ -39,12 +44,15 @@
 
     def begin(self) -> None:
         """Hand the call to the guard."""
+        caller = find_header(self.request.headers, self.parts.headers.caller_service)
+        self.parts.callers.record(self.request.kind, caller or "")
         self.parts.guard.submit(self.entry)
         if self.parts.guard.queue_length:
             self.parts.guard_timer.arm()
 
     def start(self) -> None:
         """Send the call to the target."""
+        self.parts.delays.record(self.entry.wait_ms)
         request = self.request
         names = self.parts.headers
         request_id = find_header(request.headers, names.request_id)
@@ -73,8 +81,6 @@
         answer = calls.CallAnswer(
             outcome=codes.describe(code).outcome,
             code=code,
-            pressure=self.parts.guard.pressure_level(),
-            pressure_service=self.request.service,
         )
         if code is _Code.ANSWERED:
             answer.status = response.status
@@ -99,15 +105,18 @@
 
     def refuse(self, code: codes.ResultCode) -> None:
         """End the call, which the guard refused before it ran."""
-        refusal = calls.make_refusal(code)
-        refusal.pressure = self.parts.guard.pressure_level()
-        refusal.pressure_service = self.request.service
-        self.answer_with(refusal)
+        if code in _LOAD_CODES:
+            self.parts.delays.record(max(self.entry.wait_ms, REFUSED_DELAY_MS))
+        self.answer_with(calls.make_refusal(code))
 
     def answer_with(self, answer: calls.CallAnswer) -> None:
         """Reply once; after a cancel there is nobody to reply to."""
         reply, self.reply = self.reply, None
         if reply is not None:
+            answer.queue_delay_ms = self.parts.delays.read()
+            answer.is_nested = self.parts.callers.is_nested(
+                self.request.kind, self.parts.directory.service_count
+            )
             reply(answer)
 
     def cancel(self) -> None:
--- a/src/jujubetiller/mesh/_instance_directory.py
+++ b/src/jujubetiller/mesh/_instance_directory.py
@@ -46,6 +46,11 @@
         """Revisions of the removals that wait, by instance."""
 
         self.rejected = 0
+        self.own: published.PublishedInstance | None = None
+        """The instance beside the node, if it is listed."""
+
+        self.service_count = 0
+        """Services that have instances."""
 
     def take(self, items: list[published.PublishedItem]) -> None:
         """Take in changed items."""
@@ -56,9 +61,8 @@
                 self._take_item(name, item)
                 changed = True
         if changed:
-            self._find_replaced()
             self.apply_removals()
-            self._tell_router()
+            self._follow()
 
     def apply_removals(self) -> None:
         """Carry out the removals that waited, once the store has settled."""
@@ -68,15 +72,7 @@
             self.listed.pop(name, None)
             _LOG.info("instance removed", extra={"instance": name})
         self.removals = {}
-        self._tell_router()
-
-    def own(self) -> published.PublishedInstance | None:
-        """Return the instance beside the node, if it is listed."""
-        for listed in self.listed.values():
-            instance = listed.instance
-            if instance.address == self.own_address and not listed.is_replaced:
-                return instance
-        return None
+        self._follow()
 
     def peers(self) -> list[settings.Address]:
         """Return the addresses of the other nodes, in a fixed order."""
@@ -124,7 +120,14 @@
         for listed in self.listed.values():
             listed.is_replaced = newest[listed.instance.address] is not listed
 
-    def _tell_router(self) -> None:
+    def _follow(self) -> None:
+        """Bring what is derived from the list up to date."""
+        self._find_replaced()
+        self.own = None
+        for listed in self.listed.values():
+            if listed.instance.address == self.own_address and not listed.is_replaced:
+                self.own = listed.instance
+        self.service_count = len({e.instance.service for e in self.listed.values()})
         self.router.update_instances(
             make_routable(listed, self.peer_port) for listed in self.listed.values()
         )
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -12,6 +12,7 @@
 
 from jujubetiller import (
     clock,
+    congestion,
     edge,
     limits,
     metrics,
@@ -40,6 +41,9 @@
 
 HOUSEKEEPING_MS = 250.0
 
+USED_SLOTS_SHARE = 0.95
+"""Some instances slow down when their last slots are taken."""
+
 PIPELINE_DEPTH = 8
 """Requests of one connection that are under way at once."""
 
@@ -124,6 +128,9 @@
             ),
             budget=_repeat_budget.RepeatBudget(time_source, node_settings.repeats),
             metrics=metrics.NodeMetrics(),
+            delays=congestion.DelayMemory(time_source),
+            callers=congestion.CallerShares(),
+            throttles=congestion.Throttles(time_source, random_source),
         )
 
     def start(self) -> None:
@@ -204,9 +211,12 @@
     def take_instances(self, items: list[published.PublishedItem]) -> None:
         """Take in changed instances and follow the slots of the own one."""
         self.parts.directory.take(items)
-        own = self.parts.directory.own()
-        if own is not None and own.slots != self.parts.guard.slots:
-            self.parts.guard.set_slots(own.slots)
+        own = self.parts.directory.own
+        if own is None:
+            return
+        slots = max(1, int(own.slots * USED_SLOTS_SHARE))
+        if slots != self.parts.guard.slots:
+            self.parts.guard.set_slots(slots)
 
     def keep_house(self) -> None:
         """Carry out removals that waited for the store to settle."""
--- a/src/jujubetiller/mesh/_mesh_parts.py
+++ b/src/jujubetiller/mesh/_mesh_parts.py
@@ -5,7 +5,16 @@
 
 import attrs
 
-from jujubetiller import clock, limits, metrics, routing, settings, streams, target
+from jujubetiller import (
+    clock,
+    congestion,
+    limits,
+    metrics,
+    routing,
+    settings,
+    streams,
+    target,
+)
 from jujubetiller.mesh import (
     _configuration_in_force,
     _header_names,
@@ -33,6 +42,9 @@
     target: target.TargetClient
     budget: _repeat_budget.RepeatBudget
     metrics: metrics.NodeMetrics
+    delays: congestion.DelayMemory
+    callers: congestion.CallerShares
+    throttles: congestion.Throttles
     pool: streams.StreamPool = attrs.field(init=False)
 
     def is_ready(self) -> bool:
--- a/src/jujubetiller/mesh/_repeat_budget.py
+++ b/src/jujubetiller/mesh/_repeat_budget.py
@@ -38,15 +38,19 @@
         """Count the first attempt of a request."""
         self._current(service)[-1].requests += 1
 
-    def try_repeat(self, service: str) -> bool:
-        """Return whether one more attempt may be sent, and count it if so."""
+    def may_repeat(self, service: str) -> bool:
+        """Return whether one more attempt may be sent."""
         counts = self._current(service)
         requests = sum(count.requests for count in counts)
         repeats = sum(count.repeats for count in counts)
-        if repeats + 1 > self.settings.ratio * requests + self.settings.slack:
+        return repeats + 1 <= self.settings.ratio * requests + self.settings.slack
+
+    def try_repeat(self, service: str) -> bool:
+        """Return whether one more attempt may be sent, and count it if so."""
+        if not self.may_repeat(service):
             self.refused += 1
             return False
-        counts[-1].repeats += 1
+        self._current(service)[-1].repeats += 1
         return True
 
     def _current(self, service: str) -> list[_Counts]:
--- a/src/jujubetiller/platform/_settings.py
+++ b/src/jujubetiller/platform/_settings.py
@@ -43,7 +43,11 @@
         ),
         store=_translate_store(_fields.read(document, "platform", dict)),
         limits=settings.LimitSettings(
-            policy="fixed", queue_length=1_000, queue_wait_ms=1_000
+            policy="fixed",
+            queue_order="arrival",
+            queue_length=1_000,
+            queue_wait_ms=400,
+            congested_wait_ms=250,
         ),
         routing=settings.RoutingSettings(slow_start_ms=3_000),
         logs=settings.LogSettings(repeats_per_second=REPEATED_LOG_LINES_PER_SECOND),
--- a/src/jujubetiller/routing/_relative_pool.py
+++ b/src/jujubetiller/routing/_relative_pool.py
@@ -56,6 +56,10 @@
             ratio = min(self.times.record(kind, took_ms), 1 / _FASTEST**2)
             stats.slowness += _SAMPLE_WEIGHT * (ratio - stats.slowness)
 
+    def usual_ms(self, kind: str) -> float | None:
+        """Return how long calls of ``kind`` take on the whole, if that is known."""
+        return self.times.by_kind.get(kind)
+
     def choose(self, exclude: frozenset[str], now_ms: float) -> _Stats | None:
         """Return the instance for a call, or None if none can be reached."""
         if self.unreachable:
--- a/src/jujubetiller/routing/_router.py
+++ b/src/jujubetiller/routing/_router.py
@@ -69,6 +69,11 @@
         self.no_instance_refusals += 1
         return _NO_INSTANCE
 
+    def usual_ms(self, service: str, kind: str) -> float | None:
+        """Return how long calls of ``kind`` usually take, if that is known."""
+        pool = self.pools.get(service)
+        return None if pool is None else pool.usual_ms(kind)
+
     def sent(self, instance: _routable_instance.RoutableInstance) -> None:
         """Count a call as outstanding; exactly one ``answered`` must follow."""
         stats = self._find(instance)
--- a/src/jujubetiller/routing/_service_pool.py
+++ b/src/jujubetiller/routing/_service_pool.py
@@ -106,6 +106,10 @@
         stats.record(refused, took_ms, now_ms)
         self.spill.record(stats.instance.zone == self.own_zone, refused)
 
+    def usual_ms(self, kind: str) -> float | None:
+        """Return how long calls of ``kind`` take; this pool does not know."""
+        return None
+
     def choose(self, exclude: frozenset[str], now_ms: float) -> _Stats | None:
         """Return the instance for a call, or None if none can be reached."""
         if self.unreachable:
--- a/tests/mesh/test_requests.py
+++ b/tests/mesh/test_requests.py
@@ -192,3 +192,34 @@
     node.reactor.advance(1.0)
     node.ask("/book/2")
     assert node.pool.calls[-1].request.expected_instance == local_mesh.FIRST
+
+
+def test_a_lost_answer_is_given_up_for_another_instance() -> None:
+    """Guards against calls that hang on a lost answer until their deadline."""
+    node = local_mesh.LocalMesh()
+    node.list_instance("ledger-2", service="ledger", address="127.0.0.8:8301")
+    node.remove_instance(local_mesh.OWN)
+    node.list_instance("ledger-3", service="ledger", address="127.0.0.7:8301")
+    for _ in range(20):
+        node.ask("/read/1")
+        node.reactor.advance(0.02)
+        node.answer()
+    while node.pool.calls[-1].request.service != "ledger" or node.outstanding() == 0:
+        node.ask("/read/1")
+    silent = node.pool.calls[-1]
+    node.reactor.advance(0.3)
+    assert silent.cancelled == 1
+    assert node.pool.calls[-1] is not silent
+    node.answer()
+    assert node.replies[-1].status == 200
+
+
+def test_a_silent_attempt_of_a_booking_is_waited_for() -> None:
+    node = local_mesh.LocalMesh()
+    for _ in range(20):
+        node.ask("/book/1")
+        node.reactor.advance(0.02)
+        node.answer()
+    node.ask("/book/1")
+    node.reactor.advance(0.7)
+    assert node.pool.calls[-1].cancelled == 0
