--- a/src/jujubetiller/http_reads/_backoff.py
+++ b/src/jujubetiller/http_reads/_backoff.py
@@ -12,13 +12,16 @@
 class Backoff:
     """Doubles the pause with each failure, with jitter in its upper half."""
 
-    def __init__(self, random_source: random.Random) -> None:
+    def __init__(
+        self, random_source: random.Random, highest_ms: float = HIGHEST_MS
+    ) -> None:
+        self.highest_ms = highest_ms
         self.random = random_source
         self.failures = 0
 
     def next_ms(self) -> float:
         """Count a failure and return the pause before the next attempt."""
-        longest_ms = min(HIGHEST_MS, BASE_MS * 2.0 ** min(self.failures, 20))
+        longest_ms = min(self.highest_ms, BASE_MS * 2.0 ** min(self.failures, 20))
         self.failures += 1
         return longest_ms * (0.5 + 0.5 * self.random.random())
 
--- a/src/jujubetiller/platform/_store_reader.py
+++ b/src/jujubetiller/platform/_store_reader.py
@@ -48,7 +48,9 @@
         self.settings = store_settings
         self.state = state
         self.reader = http_reads.HttpReader(reactor, store_settings.address)
-        self.backoff = http_reads.Backoff(random_source)
+        self.backoff = http_reads.Backoff(
+            random_source, float(store_settings.longest_pause_ms)
+        )
         self.is_stopped = False
         self.is_down = True
         self.may_be_stale = True
--- a/src/jujubetiller/settings/_store_settings.py
+++ b/src/jujubetiller/settings/_store_settings.py
@@ -18,4 +18,8 @@
     answer_timeout_ms: int = _fields.whole_number(1_500, 50, 60_000)
     """Time beyond the wait of a watch after which an answer counts as lost."""
 
+    longest_pause_ms: int = _fields.whole_number(1_000, 50, 60_000)
+    """The longest pause between reads that fail. News must be in force soon after
+    the store is back, also at a node whose peers are cut off."""
+
     max_value_bytes: int = _fields.whole_number(1_048_576, 1_024, 67_108_864)
--- /dev/null
+++ b/standins/store/_published_store.py
@@ -0,0 +1,94 @@
+"""Items with revisions, read by pages and watched."""
+
+import base64
+import json
+from typing import Any
+from urllib import parse
+
+import attrs
+
+Answer = tuple[int, bytes]
+
+
+@attrs.define
+class PublishedStore:
+    """Answers ``/kv-range`` and ``/kv-watch`` as the platform's pages say.
+
+    A watch without news has no answer until something is written; the caller of
+    ``answer`` keeps the request and asks again.
+    """
+
+    page_items: int = 500
+    revision: int = 1
+    items: dict[str, dict[str, Any]] = attrs.field(factory=dict)
+    events: list[dict[str, Any]] = attrs.field(factory=list)
+    history_from: int = 0
+    """Watches after an earlier revision are answered with 410."""
+
+    stale_revision: int | None = None
+    """What serializable reads show; ``None`` for the newest state."""
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write an item."""
+        self.revision += 1
+        item = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": self.revision,
+            "created": self.items.get(key, {}).get("created", self.revision),
+            "lease": 0,
+        }
+        self.items[key] = item
+        self.events.append(item)
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        self.revision += 1
+        del self.items[key]
+        self.events.append({"key": key, "revision": self.revision, "tombstone": True})
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self.events = []
+        self.history_from = self.revision
+
+    def answer(self, uri: str) -> Answer | None:
+        """Return the answer for a path with its query; ``None`` for a silent watch."""
+        path, _, text = uri.partition("?")
+        query = dict(parse.parse_qsl(text, keep_blank_values=True))
+        if path == "/kv-range":
+            return 200, json.dumps(self._range(query)).encode()
+        if path == "/kv-watch":
+            return self._watch(query)
+        return 404, b""
+
+    def _range(self, query: dict[str, str]) -> dict[str, Any]:
+        as_of = self.revision
+        if query.get("serializable") == "1" and self.stale_revision is not None:
+            as_of = self.stale_revision
+        after = query.get("after", "")
+        found = [
+            item
+            for key, item in sorted(self.items.items())
+            if key.startswith(query["prefix"])
+            and key > after
+            and item["revision"] <= as_of
+        ]
+        return {
+            "items": found[: self.page_items],
+            "truncated": len(found) > self.page_items,
+            "as_of": as_of,
+        }
+
+    def _watch(self, query: dict[str, str]) -> Answer | None:
+        after = int(query["after"])
+        if after < self.history_from:
+            return 410, b""
+        events = [
+            event
+            for event in self.events
+            if event["revision"] > after and event["key"].startswith(query["prefix"])
+        ]
+        if not events:
+            return None
+        return 200, json.dumps({"events": events, "as_of": self.revision}).encode()
--- /dev/null
+++ b/tests/platform/test_store_reader.py
@@ -0,0 +1,179 @@
+"""Guards against news of the store that is lost, late or taken twice."""
+
+import random
+from typing import Any
+
+import attrs
+import pytest
+import result
+from twisted.internet import defer, task
+
+from jujubetiller import http_reads, platform, published, settings
+from standins import store
+from tests.node import local_node
+
+
+@attrs.define
+class Read:
+    """A request that the store has not answered yet."""
+
+    path: str
+    done: defer.Deferred[Any]
+    late: Any
+
+
+class FakeReader:
+    """Answers reads from a store, or as the test says."""
+
+    def __init__(
+        self, reactor: task.Clock, published_store: store.PublishedStore
+    ) -> None:
+        self.reactor = reactor
+        self.store = published_store
+        self.failure: Any = None
+        self.paths: list[str] = []
+        self.waiting: list[Read] = []
+
+    def get(self, path: str, timeout_ms: float, max_bytes: int) -> defer.Deferred[Any]:
+        self.paths.append(path)
+        done: defer.Deferred[Any] = defer.Deferred(lambda _: None)
+        if self.failure is not None:
+            self.reactor.callLater(0, done.callback, self.failure)
+            return done
+        late = self.reactor.callLater(timeout_ms / 1000.0, self.fall_silent, done)
+        self.waiting.append(Read(path, done, late))
+        self.reactor.callLater(0, self.settle)
+        return done
+
+    def fall_silent(self, done: defer.Deferred[Any]) -> None:
+        self.waiting = [read for read in self.waiting if read.done is not done]
+        if not done.called:
+            done.callback(result.Err(http_reads.ReadProblem.SILENT))
+
+    def settle(self) -> None:
+        """Answer the reads that the store has an answer for."""
+        for read in tuple(self.waiting):
+            answer = self.store.answer(read.path)
+            if answer is not None:
+                self.waiting.remove(read)
+                read.late.cancel()
+                read.done.callback(result.Ok(http_reads.HttpAnswer(*answer)))
+
+
+class World:
+    """A reader of a store on a reactor that only the test advances."""
+
+    def __init__(self, **changes: Any) -> None:
+        self.reactor = task.Clock()
+        self.store = store.PublishedStore(**changes)
+        self.state = published.PublishedState()
+        self.source = platform.StoreReader(
+            self.reactor,
+            local_node.ReactorClock(self.reactor),
+            random.Random(5),
+            settings.StoreSettings(settings.Address("127.0.0.9", 80)),
+            self.state,
+        )
+        self.reader = FakeReader(self.reactor, self.store)
+        self.source.reader = self.reader  # type: ignore[assignment]
+
+    def run(self, seconds: float = 0.05) -> None:
+        for _ in range(int(seconds * 100)):
+            self.reactor.advance(0.01)
+            self.reader.settle()
+
+    def values(self) -> dict[str, bytes | None]:
+        return {key: item.value for key, item in self.state.items.items()}
+
+
+def test_pages_are_read_to_the_end_and_the_watch_brings_the_rest() -> None:
+    world = World(page_items=3)
+    for number in range(8):
+        world.store.put(f"k{number}", b"%d" % number)
+    world.source.start()
+    world.run()
+    assert len(world.values()) == 8
+    world.store.put("k3", b"new")
+    world.store.remove("k5")
+    world.run()
+    assert world.values()["k3"] == b"new"
+    assert "k5" not in world.values()
+    listings = [path for path in world.reader.paths if "kv-range" in path]
+    assert len(listings) == 3
+
+
+def test_a_stale_listing_is_completed_by_the_watch() -> None:
+    world = World()
+    world.store.put("a", b"1")
+    world.store.stale_revision = world.store.revision
+    world.store.put("b", b"2")
+    world.source.start()
+    world.run()
+    assert world.values() == {"a": b"1", "b": b"2"}
+
+
+def test_after_the_history_is_gone_a_fresh_listing_is_read() -> None:
+    """Guards against a removal that happened while the history was dropped."""
+    world = World()
+    world.store.put("a", b"1")
+    world.store.put("b", b"2")
+    world.source.start()
+    world.run()
+    world.reader.waiting.clear()
+    world.store.remove("a")
+    world.store.put("c", b"3")
+    world.store.compact()
+    world.store.stale_revision = 2
+    world.run(7.0)
+    assert world.values() == {"b": b"2", "c": b"3"}
+    assert "serializable" not in [p for p in world.reader.paths if "range" in p][-1]
+
+
+def test_a_silent_watch_is_asked_again() -> None:
+    world = World()
+    world.store.put("a", b"1")
+    world.source.start()
+    world.run()
+    lost = world.reader.waiting.pop()
+    world.store.put("a", b"2")
+    lost.late.reset(5.0)
+    world.run(6.0)
+    assert world.values() == {"a": b"2"}
+
+
+@pytest.mark.parametrize(
+    "failure",
+    [
+        result.Err(http_reads.ReadProblem.UNREACHABLE),
+        result.Ok(http_reads.HttpAnswer(503, b"")),
+        result.Ok(http_reads.HttpAnswer(429, b"")),
+        result.Ok(http_reads.HttpAnswer(200, b"{")),
+        result.Ok(http_reads.HttpAnswer(200, b'{"items": 5, "as_of": 3}')),
+        result.Ok(http_reads.HttpAnswer(200, b'{"items": [{"key": 1}], "as_of": 3}')),
+    ],
+)
+def test_a_store_that_fails_is_asked_less_and_less_until_it_is_back(
+    failure: Any,
+) -> None:
+    world = World()
+    world.store.put("a", b"1")
+    world.reader.failure = failure
+    world.source.start()
+    world.run(20.0)
+    assert 15 < len(world.reader.paths) < 45
+    assert world.source.age_ms() == -1
+    world.reader.failure = None
+    world.run(1.5)
+    assert world.values() == {"a": b"1"}
+    assert world.source.age_ms() >= 0
+    assert world.source.returned_at_ms() > 19_000
+
+
+def test_a_stopped_reader_reads_no_more() -> None:
+    world = World()
+    world.source.start()
+    world.run()
+    asked = len(world.reader.paths)
+    world.source.stop()
+    world.run(10.0)
+    assert len(world.reader.paths) == asked
--- a/tests/target/test_target_client.py
+++ b/tests/target/test_target_client.py
@@ -342,3 +342,84 @@
     beside.accept().dataReceived(OK)
     assert [one.body for one in beside.ends[1:]] == [b"done"]
     assert beside.ends[1].headers == (("X-Of", "target"),)
+
+
+UNFRAMED = b"HTTP/1.1 200 OK\r\nX-Of: target\r\n\r\nwhole until the close"
+
+
+def echoing(value: str, body: bytes = b"done") -> bytes:
+    return (
+        f"HTTP/1.1 200 OK\r\nX-Id: {value}\r\nContent-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+def send_with_id(node: Target, value: str) -> None:
+    deadline = calls.Deadline.after(node.clock, 500)
+    request = target.TargetRequest("GET", "/a", (), b"", deadline, ("x-id", value))
+    node.client.send(request, node.ends.append)
+
+
+def test_an_answer_without_a_length_ends_with_its_connection_where_it_may() -> None:
+    node = Target()
+    node.client.close_ends_answer = True
+    node.send()
+    protocol = node.accept()
+    protocol.dataReceived(UNFRAMED)
+    node.lose(protocol)
+    assert (node.codes(), node.ends[0].body) == (
+        [_Code.ANSWERED],
+        b"whole until the close",
+    )
+
+
+def test_an_answer_without_a_length_that_is_reset_is_not_whole() -> None:
+    """Guards against a part of an answer that looks complete (MIXED)."""
+    node = Target()
+    node.client.close_ends_answer = True
+    node.send()
+    protocol = node.accept()
+    protocol.dataReceived(UNFRAMED)
+    protocol.connectionLost(failure.Failure(error.ConnectionLost()))
+    assert node.codes() == [_Code.TARGET_CLOSED_EARLY]
+
+
+def test_a_cut_answer_with_a_length_is_not_whole() -> None:
+    node = Target()
+    node.client.close_ends_answer = True
+    node.send()
+    protocol = node.accept()
+    protocol.dataReceived(OK[:-1])
+    node.lose(protocol)
+    assert node.codes() == [_Code.TARGET_CLOSED_EARLY]
+
+
+def test_a_late_extra_answer_is_not_taken_for_the_next_one() -> None:
+    """Guards against the answer to another request (MIXED)."""
+    node = Target()
+    send_with_id(node, "first")
+    protocol = node.accept()
+    protocol.dataReceived(echoing("first"))
+    send_with_id(node, "second")
+    protocol.dataReceived(echoing("first", b"again") + echoing("second", b"own"))
+    assert [end.body for end in node.ends] == [b"done", b"own"]
+    assert node.statistics.responses_of_others == 1
+
+
+def test_only_an_extra_answer_is_no_answer() -> None:
+    node = Target()
+    node.client.close_ends_answer = True
+    send_with_id(node, "second")
+    protocol = node.accept()
+    protocol.dataReceived(echoing("first"))
+    node.lose(protocol)
+    assert node.codes() == [_Code.TARGET_CLOSED_EARLY]
+
+
+def test_a_connection_is_not_reused_near_the_end_that_the_target_tells() -> None:
+    node = Target()
+    node.send()
+    protocol = node.accept()
+    protocol.dataReceived(OK.replace(b"X-Of", b"Keep-Alive: timeout=2\r\nX-Of"))
+    node.advance(1_500)
+    node.send()
+    assert len(node.reactor.tcpClients) == 2
