Let answers leave before a node stops

Streams were aborted as soon as nothing was in flight, which cut the last bytes of long answers to peers; answers to clients had no time either.

--- a/src/jujubetiller/mesh/_drain.py
+++ b/src/jujubetiller/mesh/_drain.py
@@ -12,11 +12,16 @@
 """New requests are taken for this long: clients learn of the stop from two failed
 questions for readiness, a second apart."""
 
-END_MARGIN_MS = 400.0
+END_MARGIN_MS = 600.0
 """The process ends this long before it would be killed."""
 
 POLL_MS = 20.0
 
+FLUSH_MS = 200.0
+"""Time for the last bytes of answers."""
+
+LONGEST_FLUSH_MS = 1_000.0
+
 
 class Drain:
     """Tells peers, lets every request in flight end, and closes the node."""
@@ -69,11 +74,33 @@
                 channel.loseConnection()  # type: ignore[no-untyped-call]
 
     def close(self, left_over: int) -> None:
-        """Close the streams and report what did not finish."""
+        """Close the streams and report what did not finish.
+
+        Clients and peers may still read long answers, for which they have the rest
+        of the time.
+        """
         if left_over:
             self.parts.metrics.count_drain_leftovers(left_over)
             _LOG.warning("drain time is over", extra={"in_flight": left_over})
         self.parts.target.close()
-        self.parts.pool.abort()
+        elapsed_ms = self.parts.clock.now_ms() - self.started_at_ms
+        end_ms = self.parts.settings.grace_ms - END_MARGIN_MS
+        left_ms = max(FLUSH_MS, min(LONGEST_FLUSH_MS, end_ms - elapsed_ms))
+        bound = self.parts.reactor.callLater(left_ms / 1000.0, self.parts.pool.abort)
+
+        def closed(_: None) -> None:
+            if bound.active():
+                bound.cancel()
+            self.finish(left_over, self.parts.clock.now_ms() + FLUSH_MS)
+
+        self.parts.pool.close().addCallback(closed)
+
+    def finish(self, left_over: int, latest_ms: float) -> None:
+        """End once the answers to clients are written, or at ``latest_ms``."""
+        if self.edges["egress"].channels and self.parts.clock.now_ms() < latest_ms:
+            self.parts.reactor.callLater(
+                POLL_MS / 1000.0, self.finish, left_over, latest_ms
+            )
+            return
         _LOG.info("stopped", extra={"in_flight": left_over})
         self.finished.callback(left_over)
