--- a/src/jujubetiller/command/__init__.py
+++ b/src/jujubetiller/command/__init__.py
@@ -1,5 +1,5 @@
 """The command line."""
 
-from jujubetiller.command._run import run
+from jujubetiller.command._dispatch import run
 
 __all__ = ["run"]
--- /dev/null
+++ b/standins/mesh_site/__main__.py
@@ -0,0 +1,67 @@
+"""Run the store and the instances: ``python -m standins.mesh_site JSON``.
+
+The JSON names the instances with their services and hosts. The first line of
+output names the ports ``store``, ``operator`` and ``app``.
+"""
+
+import sys
+
+import attrs
+
+from jujubetiller import clock, edge
+from standins import mesh_site, process, store
+
+
+@attrs.frozen
+class Instance:
+    """One instance; all listen on one port of their own loopback addresses."""
+
+    name: str
+    service: str
+    host: str
+
+
+@attrs.frozen
+class Arguments:
+    """The arguments of the process."""
+
+    instances: tuple[Instance, ...]
+    app_port: int
+    work_ms: float = 5.0
+
+
+MAX_BODY_BYTES = 1_048_576
+MAX_CONNECTIONS = 1_000
+
+
+def make_factory(handler: edge.EdgeHandler) -> edge.EdgeFactory:
+    """Return a listener for ``handler``."""
+    return edge.PipelinedFactory(
+        process.reactor, clock.SystemClock(), handler, MAX_BODY_BYTES, MAX_CONNECTIONS
+    )
+
+
+def main() -> None:
+    """Listen and run."""
+    arguments = process.parse_arguments(sys.argv[1], Arguments)
+    store_site = mesh_site.StoreSite(process.reactor, store.PublishedStore())
+    instances = {}
+    for instance in arguments.instances:
+        site = mesh_site.InstanceSite(
+            process.reactor, instance.name, instance.service, arguments.work_ms
+        )
+        instances[instance.name] = site
+        process.reactor.listenTCP(
+            arguments.app_port, make_factory(site), interface=instance.host
+        )
+    operator = mesh_site.OperatorSite(store_site, instances)
+    process.run(
+        {
+            "store": process.listen(make_factory(store_site)),
+            "operator": process.listen(make_factory(operator)),
+            "app": arguments.app_port,
+        }
+    )
+
+
+main()
--- /dev/null
+++ b/standins/mesh_site/_instance_site.py
@@ -0,0 +1,70 @@
+"""An instance that answers after some work."""
+
+import collections
+import json
+from collections.abc import Callable
+from typing import Any
+
+from jujubetiller import codes, edge
+
+_ID = "jujubetiller-request-id"
+_EXPECTED = "jujubetiller-expected-instance"
+
+
+class InstanceSite(edge.EdgeHandler):
+    """Runs requests that expect it and counts the runs of each.
+
+    ``fault`` decides what becomes of the requests that ran: ``none``, ``lost``
+    (no answer) or ``shed`` (they are refused instead).
+    """
+
+    def __init__(
+        self, reactor: Any, name: str, service: str, work_ms: float = 5.0
+    ) -> None:
+        self.reactor = reactor
+        self.name = name
+        self.service = service
+        self.work_ms = work_ms
+        self.fault = "none"
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.cancelled = 0
+
+    def is_draining(self) -> bool:
+        """Return False: the instance keeps its connections."""
+        return False
+
+    def refuse(self, code: codes.ResultCode, detail: str) -> edge.EdgeReply:
+        """Return the answer to bytes that are no request."""
+        return edge.EdgeReply(400, [], detail.encode())
+
+    def handle(
+        self,
+        message: edge.EdgeMessage,
+        reply: Callable[[edge.EdgeReply], None],
+    ) -> Callable[[], None]:
+        """Run a request, or say that it did not run."""
+        request = message.control.get(_ID, "")
+        if message.control.get(_EXPECTED) != self.name:
+            reply(edge.EdgeReply(421, [("Jujubetiller-Instance-Id", self.name)], b""))
+            return _do_nothing
+        if self.fault == "shed":
+            reply(edge.EdgeReply(503, [("Jujubetiller-Not-Executed", "1")], b""))
+            return _do_nothing
+        self.runs[request] += 1
+        if self.fault == "lost":
+            return _do_nothing
+        body = json.dumps({"instance": self.name, "path": message.path}).encode()
+        headers = [(_ID, request), ("Jujubetiller-Server-Stamp", f"{self.name}.1")]
+        timer = self.reactor.callLater(
+            self.work_ms / 1000.0, reply, edge.EdgeReply(200, headers, body)
+        )
+
+        def cancel() -> None:
+            self.cancelled += 1
+            timer.cancel()
+
+        return cancel
+
+
+def _do_nothing() -> None:
+    """Stand in for the cancel function of a request that has its answer."""
--- /dev/null
+++ b/standins/mesh_site/_operator_site.py
@@ -0,0 +1,80 @@
+"""What a test tells the stand-ins."""
+
+import json
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from jujubetiller import codes, edge
+from standins.mesh_site import _instance_site, _store_site
+
+
+class OperatorSite(edge.EdgeHandler):
+    """Takes JSON commands by path: ``/put``, ``/remove``, ``/down``, ``/fault``.
+
+    ``/runs`` returns how often each request ran.
+    """
+
+    def __init__(
+        self,
+        store_site: _store_site.StoreSite,
+        instances: Mapping[str, _instance_site.InstanceSite],
+    ) -> None:
+        self.store_site = store_site
+        self.instances = instances
+        self.commands: dict[str, Callable[[Any], Any]] = {
+            "/put": self.put,
+            "/remove": self.remove,
+            "/down": self.set_down,
+            "/fault": self.set_fault,
+            "/runs": self.list_runs,
+        }
+
+    def is_draining(self) -> bool:
+        """Return False."""
+        return False
+
+    def refuse(self, code: codes.ResultCode, detail: str) -> edge.EdgeReply:
+        """Return the answer to bytes that are no request."""
+        return edge.EdgeReply(400, [], detail.encode())
+
+    def handle(
+        self,
+        message: edge.EdgeMessage,
+        reply: Callable[[edge.EdgeReply], None],
+    ) -> Callable[[], None]:
+        """Carry out a command."""
+        command = self.commands.get(message.path)
+        if command is None:
+            reply(edge.EdgeReply(404, [], b""))
+        else:
+            document = json.loads(message.body) if message.body else None
+            body = json.dumps(command(document)).encode()
+            reply(edge.EdgeReply(200, [], body))
+        return lambda: None
+
+    def put(self, document: Any) -> None:
+        """Write an item."""
+        value = json.dumps(document["value"]).encode()
+        self.store_site.store.put(document["key"], value)
+        self.store_site.wake()
+
+    def remove(self, document: Any) -> None:
+        """Remove an item."""
+        self.store_site.store.remove(document["key"])
+        self.store_site.wake()
+
+    def set_down(self, document: Any) -> None:
+        """Turn every reader away, or serve again."""
+        self.store_site.down = document["down"]
+
+    def set_fault(self, document: Any) -> None:
+        """Let an instance fail in a way."""
+        self.instances[document["instance"]].fault = document["fault"]
+
+    def list_runs(self, document: Any) -> dict[str, int]:
+        """Return the runs of each request."""
+        runs: dict[str, int] = {}
+        for instance in self.instances.values():
+            for request, number in instance.runs.items():
+                runs[request] = runs.get(request, 0) + number
+        return runs
