--- a/src/jujubetiller/mesh/_ingress_call.py
+++ b/src/jujubetiller/mesh/_ingress_call.py
@@ -11,6 +11,10 @@
 MISDIRECTED_STATUS = 421
 LEAST_DEADLINE_MS = 1
 
+ANSWER_MARGIN_MS = 25.0
+"""A call that waits is refused this long before its deadline, so that the node where
+it entered still hears that it did not run."""
+
 REFUSED_DELAY_MS = 100.0
 """The least delay that a refusal for load counts as."""
 
@@ -36,7 +40,7 @@
         self.entry = limits.GuardEntry(
             rank=request.rank,
             depth=request.depth,
-            deadline=self.deadline,
+            deadline=calls.Deadline(self.deadline.at_ms - ANSWER_MARGIN_MS),
             start=self.start,
             refuse=self.refuse,
             kind=request.kind,
--- a/tests/mesh/test_ingress.py
+++ b/tests/mesh/test_ingress.py
@@ -73,3 +73,12 @@
     lost = target.TargetResponse(Code.TARGET_CLOSED_EARLY)
     node.target.requests[-1].on_end(lost)
     assert node.answers[0].outcome is codes.Outcome.UNKNOWN
+
+
+def test_a_call_that_waits_to_the_end_is_refused_in_time() -> None:
+    """Guards against an unknown end of a request that never ran."""
+    node = local_mesh.LocalMesh()
+    for _ in range(node.parts.guard.limit + 1):
+        node.receive(deadline_left_ms=200.0)
+    node.reactor.advance(0.185)
+    assert node.answers[0].code is Code.QUEUE_DEADLINE
