--- a/bench/key_world.py
+++ b/bench/key_world.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from bench import key_use
 from jujubetiller import calls, clock, codes, keys, settings
 
 INSTANCES = ("ledger-1", "ledger-2")
@@ -38,7 +39,7 @@
 
     request: int
     key: keys.ExecutionKey
-    use: keys.KeyUse
+    use: key_use.KeyUse
     outcome: codes.Outcome | None = None
 
 
@@ -72,7 +73,7 @@
     def __init__(
         self,
         table_class: type[keys.ExecutionTable] = keys.ExecutionTable,
-        use_class: type[keys.KeyUse] = keys.KeyUse,
+        use_class: type[key_use.KeyUse] = key_use.KeyUse,
     ) -> None:
         self.table_class = table_class
         self.use_class = use_class
@@ -213,7 +214,9 @@
         key = self.signer.verify(text).unwrap()
         return self._enter(request, key, self.use_class(True))
 
-    def _enter(self, request: int, key: keys.ExecutionKey, use: keys.KeyUse) -> Attempt:
+    def _enter(
+        self, request: int, key: keys.ExecutionKey, use: key_use.KeyUse
+    ) -> Attempt:
         attempt = Attempt(request, key, use)
         self.attempts.append(attempt)
         return attempt
--- a/src/jujubetiller/keys/__init__.py
+++ b/src/jujubetiller/keys/__init__.py
@@ -10,7 +10,6 @@
 from jujubetiller.keys._execution_key import ExecutionKey
 from jujubetiller.keys._execution_table import ExecutionTable
 from jujubetiller.keys._key_signer import KeySigner
-from jujubetiller.keys._key_use import KeyUse
 from jujubetiller.keys._owner_epoch import OwnerEpoch
 from jujubetiller.keys._refusal_codes import REFUSAL_CODES
 from jujubetiller.keys._states import BeginState, KeyEvent, KeyState
@@ -27,7 +26,6 @@
     "KeyEvent",
     "KeySigner",
     "KeyState",
-    "KeyUse",
     "OwnerEpoch",
     "Transition",
 ]
--- a/tests/keys/test_at_most_once.py
+++ b/tests/keys/test_at_most_once.py
@@ -11,7 +11,7 @@
 import pytest
 from hypothesis import stateful, strategies
 
-from bench import key_world
+from bench import key_use, key_world
 from jujubetiller import calls, keys
 
 numbers = strategies.integers(0, 30)
@@ -179,7 +179,7 @@
         super().finish(key, previous)
 
 
-class UseThatTrustsEveryMintedKey(keys.KeyUse):
+class UseThatTrustsEveryMintedKey(key_use.KeyUse):
     def may_certify_not_run(self) -> bool:
         return self.minted_here
 
@@ -192,17 +192,17 @@
 @pytest.mark.parametrize(
     ("table_class", "use_class", "message"),
     [
-        (TableThatForgets, keys.KeyUse, "ran twice"),
-        (TableThatForgetsAnEpochEarly, keys.KeyUse, "ran twice"),
-        (TableThatTakesAnyBootId, keys.KeyUse, "ran twice|not run did run"),
-        (TableThatDoesNotSeal, keys.KeyUse, "not run did run"),
-        (TableThatReplaysAnything, keys.KeyUse, "not whole or of another"),
+        (TableThatForgets, key_use.KeyUse, "ran twice"),
+        (TableThatForgetsAnEpochEarly, key_use.KeyUse, "ran twice"),
+        (TableThatTakesAnyBootId, key_use.KeyUse, "ran twice|not run did run"),
+        (TableThatDoesNotSeal, key_use.KeyUse, "not run did run"),
+        (TableThatReplaysAnything, key_use.KeyUse, "not whole or of another"),
         (keys.ExecutionTable, UseThatTrustsEveryMintedKey, "not run did run"),
     ],
 )
 def test_the_check_reports_a_broken_mechanism(
     table_class: type[keys.ExecutionTable],
-    use_class: type[keys.KeyUse],
+    use_class: type[key_use.KeyUse],
     message: str,
 ) -> None:
     machine = make_machine(lambda: key_world.KeyWorld(table_class, use_class))
--- a/tests/keys/test_key_signer.py
+++ b/tests/keys/test_key_signer.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bench import key_use
 from jujubetiller import codes, keys
 
 OLD, NEW = "old-signing-key-0001", "new-signing-key-0001"
@@ -30,5 +31,5 @@
 
 def test_only_an_unsent_key_minted_here_is_certified_without_its_owner() -> None:
     for minted_here, sent in ((True, True), (False, False), (False, True)):
-        assert not keys.KeyUse(minted_here, sent).may_certify_not_run()
-    assert keys.KeyUse(minted_here=True).may_certify_not_run()
+        assert not key_use.KeyUse(minted_here, sent).may_certify_not_run()
+    assert key_use.KeyUse(minted_here=True).may_certify_not_run()
--- a/tests/mesh/local_mesh.py
+++ b/tests/mesh/local_mesh.py
@@ -9,6 +9,7 @@
 
 from jujubetiller import calls, codes, edge, mesh, platform, published, settings
 from jujubetiller.mesh import _egress_site, _peer_calls
+from tests import reactor_clock
 from tests.node import local_node
 from tests.platform import documents
 
@@ -46,7 +47,7 @@
     def __init__(self) -> None:
         self.reactor = task.Clock()
         self.reactor.advance(1_000.0)
-        self.clock = local_node.ReactorClock(self.reactor)
+        self.clock = reactor_clock.ReactorClock(self.reactor)
         self.source = FixedSource()
         self.node = mesh.MeshNode(
             self.reactor,
--- a/tests/node/local_node.py
+++ b/tests/node/local_node.py
@@ -11,7 +11,6 @@
 
 from jujubetiller import (
     calls,
-    clock,
     codes,
     edge,
     records,
@@ -22,6 +21,7 @@
     tickets,
 )
 from jujubetiller.node import _build_parts, _edge_site, _peer_messages, _service_site
+from tests import reactor_clock
 from tests.settings import documents
 
 OWN = routing.RoutableInstance(
@@ -40,16 +40,6 @@
 PRIORITY_CLASS = 1
 
 
-class ReactorClock(clock.Clock):
-    """Reads the time of the test's reactor."""
-
-    def __init__(self, reactor: task.Clock) -> None:
-        self.reactor = reactor
-
-    def now_ms(self) -> float:
-        return float(self.reactor.seconds()) * 1000.0
-
-
 @attrs.define
 class SentCall:
     """A call that the pool was asked to send."""
@@ -127,7 +117,7 @@
     def __init__(self, retry_tokens: int = 4) -> None:
         self.reactor = task.Clock()
         self.reactor.advance(1.0)
-        time_source = ReactorClock(self.reactor)
+        time_source = reactor_clock.ReactorClock(self.reactor)
         loaded = settings.load_settings(json.dumps(documents.VALID))
         assert isinstance(loaded, result.Ok)
         self.parts = _build_parts.build_parts(
--- a/tests/platform/test_store_reader.py
+++ b/tests/platform/test_store_reader.py
@@ -10,7 +10,7 @@
 
 from jujubetiller import http_reads, platform, published, settings
 from standins import store
-from tests.node import local_node
+from tests import reactor_clock
 
 
 @attrs.define
@@ -69,7 +69,7 @@
         self.state = published.PublishedState()
         self.source = platform.StoreReader(
             self.reactor,
-            local_node.ReactorClock(self.reactor),
+            reactor_clock.ReactorClock(self.reactor),
             random.Random(5),
             settings.StoreSettings(settings.Address("127.0.0.9", 80)),
             self.state,
--- a/tests/platform_client/test_platform_client.py
+++ b/tests/platform_client/test_platform_client.py
@@ -11,22 +11,13 @@
 from twisted.test import iosim
 from twisted.web import client, resource, server
 
-from jujubetiller import clock, platform_client, settings, tickets
+from jujubetiller import platform_client, settings, tickets
+from tests import reactor_clock
 
 ADDRESS = settings.Address("127.0.0.1", 1)
 Answer = Callable[[server.Request], Any]
 
 
-class ReactorClock(clock.Clock):
-    """The clock of a test's reactor."""
-
-    def __init__(self, reactor: task.Clock) -> None:
-        self.reactor = reactor
-
-    def now_ms(self) -> float:
-        return self.reactor.seconds() * 1_000
-
-
 class Platform(resource.Resource):
     """A configuration service whose answers the test sets."""
 
@@ -113,7 +104,7 @@
         )
         self.client = platform_client.PlatformClient(
             self.reactor,
-            ReactorClock(self.reactor),
+            reactor_clock.ReactorClock(self.reactor),
             settings.PlatformSettings(ADDRESS, watch_silent_ms=silent_ms),
             random.Random(1),
             agent,
--- /dev/null
+++ b/tests/reactor_clock.py
@@ -0,0 +1,15 @@
+"""The clock of a reactor that only the test advances."""
+
+from twisted.internet import task
+
+from jujubetiller import clock
+
+
+class ReactorClock(clock.Clock):
+    """Reads the time of the test's reactor in milliseconds."""
+
+    def __init__(self, reactor: task.Clock) -> None:
+        self.reactor = reactor
+
+    def now_ms(self) -> float:
+        return float(self.reactor.seconds()) * 1000.0
--- a/tests/streams/memory_network.py
+++ b/tests/streams/memory_network.py
@@ -5,22 +5,9 @@
 from twisted.internet import error, task
 from twisted.python import failure
 
-from jujubetiller import clock
-
 PAUSE_ABOVE_BYTES = 65_536
 
 
-class ReactorClock(clock.Clock):
-    """The time of the test reactor in milliseconds."""
-
-    def __init__(self, reactor: task.Clock) -> None:
-        self.reactor = reactor
-
-    def now_ms(self) -> float:
-        """Return the reactor's time."""
-        return self.reactor.seconds() * 1000.0
-
-
 class MemoryTransport:
     """One end of a connection; bytes move only when the network says so."""
 
--- a/tests/streams/nodes.py
+++ b/tests/streams/nodes.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from jujubetiller import calls, codes, frames, settings, streams
+from tests import reactor_clock
 from tests.streams import memory_network
 
 ADDRESS = settings.Address("127.0.0.1", 4001)
@@ -78,7 +79,7 @@
             name, "ledger", "puchong", address.host, address.port, 1, "b", 1, False, b""
         )
         self.handler = RecordingHandler()
-        self.time_source = memory_network.ReactorClock(reactor)
+        self.time_source = reactor_clock.ReactorClock(reactor)
         self.pool = streams.StreamPool(
             reactor,
             self.time_source,
