Probe nodes that are away with connections, not with requests

A request in each half second and for each unreachable instance waited up to half a second for a connection; calls that a running request waits for have 300 ms.

--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -196,6 +196,7 @@
             away = calls.make_refusal(_Code.PEER_UNREACHABLE)
             self.parts.router.answered(instance, away, took_ms)
             self.parts.router.unreachable(instance)
+            self.parts.prober.watch(instance)
             return
         self.parts.router.answered(instance, answer, took_ms, self.route.name)
 
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -31,6 +31,7 @@
     _mesh_parts,
     _mesh_state,
     _peer_calls,
+    _peer_prober,
     _repeat_budget,
     _settling,
     _state_exchange,
@@ -81,6 +82,7 @@
             ),
         )
         self.parts = self._build_parts(time_source, random_source, headers, decoder)
+        self.parts.prober = _peer_prober.PeerProber(self.parts)
         self.exchange = _state_exchange.StateExchange(
             self.parts, self.state, self.settling, self.own_peer_address
         )
--- a/src/jujubetiller/mesh/_mesh_parts.py
+++ b/src/jujubetiller/mesh/_mesh_parts.py
@@ -1,7 +1,7 @@
 """The parts that the calls of a node share."""
 
 import random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
@@ -23,10 +23,13 @@
     _repeat_budget,
 )
 
+if TYPE_CHECKING:
+    from jujubetiller.mesh import _peer_prober
+
 
 @attrs.define
 class MeshParts:
-    """One of each part; ``pool`` is set when the node starts."""
+    """One of each part; ``pool`` and ``prober`` are set when the node starts."""
 
     reactor: Any
     clock: clock.Clock
@@ -46,6 +49,7 @@
     callers: congestion.CallerShares
     throttles: congestion.Throttles
     pool: streams.StreamPool = attrs.field(init=False)
+    prober: "_peer_prober.PeerProber" = attrs.field(init=False)
 
     def is_ready(self) -> bool:
         """Return whether the node knows enough to serve requests."""
--- /dev/null
+++ b/src/jujubetiller/mesh/_peer_prober.py
@@ -0,0 +1,55 @@
+"""Attempts to reach nodes that were found away."""
+
+from typing import Any
+
+from jujubetiller import routing, streams
+from jujubetiller.mesh import _mesh_parts
+
+PAUSE_MS = 300.0
+"""Pause between two attempts to reach a node."""
+
+CONNECT_TIMEOUT_MS = 300.0
+
+
+class PeerProber:
+    """Opens streams to nodes that are away, and tells the router of their return.
+
+    Requests are not used as probes: each would wait for a connection that most
+    likely fails.
+    """
+
+    def __init__(self, parts: _mesh_parts.MeshParts) -> None:
+        self.parts = parts
+        self.probed: dict[str, routing.RoutableInstance] = {}
+
+    def watch(self, instance: routing.RoutableInstance) -> None:
+        """Begin to probe the node of ``instance``, unless that is under way."""
+        is_probed = instance.instance in self.probed
+        self.probed[instance.instance] = instance
+        if not is_probed:
+            self._schedule(instance.instance)
+
+    def _schedule(self, name: str) -> None:
+        self.parts.reactor.callLater(PAUSE_MS / 1000.0, self._probe, name)
+
+    def _probe(self, name: str) -> None:
+        instance = self.probed[name]
+        if not self.parts.router.is_known(instance) or self.parts.state.draining:
+            del self.probed[name]
+            return
+
+        def ended(identity: streams.PeerIdentity | None) -> None:
+            self._ended(instance, identity)
+
+        self.parts.pool.connect(instance.address, CONNECT_TIMEOUT_MS, ended)
+
+    def _ended(
+        self,
+        instance: routing.RoutableInstance,
+        identity: streams.PeerIdentity | Any | None,
+    ) -> None:
+        if identity is None or identity.draining:
+            self._schedule(instance.instance)
+            return
+        del self.probed[instance.instance]
+        self.parts.router.reachable(instance)
--- a/src/jujubetiller/platform/_settings.py
+++ b/src/jujubetiller/platform/_settings.py
@@ -42,6 +42,9 @@
             address=_fields.read_address(document, "app_addr"), connect_timeout_ms=500
         ),
         store=_translate_store(_fields.read(document, "platform", dict)),
+        streams=settings.StreamSettings(
+            connect_timeout_ms=300, heartbeat_ms=300, silent_after_ms=1_000
+        ),
         limits=settings.LimitSettings(
             policy="fixed",
             queue_order="arrival",
--- a/src/jujubetiller/routing/_relative_pool.py
+++ b/src/jujubetiller/routing/_relative_pool.py
@@ -61,12 +61,11 @@
         return self.times.by_kind.get(kind)
 
     def choose(self, exclude: frozenset[str], now_ms: float) -> _Stats | None:
-        """Return the instance for a call, or None if none can be reached."""
-        if self.unreachable:
-            probed = self._take_probe(exclude, now_ms)
-            if probed is not None:
-                return probed
-        candidates = self._candidates(exclude)
+        """Return the instance for a call, or None if there is none.
+
+        Instances that were found unreachable are tried only if there is no other.
+        """
+        candidates = self._candidates(exclude) or self.unreachable
         if len(candidates) < 2:
             return candidates[0] if candidates else None
         weights = [self.weight(stats, now_ms) for stats in candidates]
--- a/src/jujubetiller/routing/_router.py
+++ b/src/jujubetiller/routing/_router.py
@@ -120,6 +120,11 @@
             stats.refusals = 0.0
             self.pools[instance.service].sort_out()
 
+    def is_known(self, instance: _routable_instance.RoutableInstance) -> bool:
+        """Return whether the incarnation may still get calls."""
+        stats = self._find(instance)
+        return stats is not None and not stats.leaving
+
     def mark_leaving(self, instance: _routable_instance.RoutableInstance) -> None:
         """Send this incarnation no more calls, whatever a later list says."""
         stats = self._find(instance)
--- a/tests/mesh/test_requests.py
+++ b/tests/mesh/test_requests.py
@@ -4,6 +4,7 @@
 
 from jujubetiller import codes
 from tests.mesh import local_mesh
+from tests.node import local_node
 
 Code = codes.ResultCode
 UNKNOWN_CODES = (
@@ -189,11 +190,31 @@
     node.remove_instance(local_mesh.SECOND)
     node.ask("/book/1")
     node.answer(Code.DRAINING)
-    node.reactor.advance(1.0)
+    pool = node.parts.router.pools["booth"]
+    assert [stats.instance.instance for stats in pool.unreachable] == [local_mesh.FIRST]
+    node.reactor.advance(0.31)
+    node.pool.connects[-1](None)
+    node.reactor.advance(0.31)
+    node.pool.connects[-1](local_node.make_identity(local_node.PEER))
+    assert pool.unreachable == []
     node.ask("/book/2")
     assert node.pool.calls[-1].request.expected_instance == local_mesh.FIRST
 
 
+def test_a_node_that_is_away_gets_no_request_while_others_are_there() -> None:
+    """Guards against requests that wait for a connection to a node that is cut off."""
+    node = local_mesh.LocalMesh()
+    node.ask("/book/1")
+    away = node.pool.calls[-1].request.expected_instance
+    node.answer(Code.PEER_UNREACHABLE)
+    node.answer()
+    for _ in range(20):
+        node.reactor.advance(0.5)
+        node.ask("/book/1")
+        assert node.pool.calls[-1].request.expected_instance != away
+        node.answer()
+
+
 def test_a_lost_answer_is_given_up_for_another_instance() -> None:
     """Guards against calls that hang on a lost answer until their deadline."""
     node = local_mesh.LocalMesh()
