--- a/src/jujubetiller/congestion/_route_throttle.py
+++ b/src/jujubetiller/congestion/_route_throttle.py
@@ -1,47 +1,63 @@
 """The share of a route's requests that a node admits."""
 
+import math
 import random
 
 from jujubetiller import clock
 
-WINDOW_MS = 400.0
+WINDOW_MS = 250.0
 
-LEAST_SAMPLES = 4
-"""Windows with fewer ended requests are joined to the next one."""
+LEAST_SAMPLES = 3
+"""Windows with fewer answers go on, up to ``LONGEST_WINDOW_MS``."""
 
-DELAY_TARGET_MS = 30.0
-"""Requests are refused only while calls meet longer queues than this: failures
-without queues have other causes, which fewer requests would not mend."""
+LONGEST_WINDOW_MS = 1_000.0
 
-LOWEST_SHARE = 0.05
+FAILURE_MEMORY_MS = 8_000.0
+"""How long a failure marks its route as one that full queues harm."""
 
-LARGEST_CUT = 0.3
-RAISE_STEP = 0.08
+HARMED_SHARE = 0.02
+"""Routes with a smaller share of failures admit all: their answers may tell of
+queues that they do not wait in."""
+
+LOWEST_SHARE = 0.03
+
+LARGEST_CUT = 0.25
+
+CUT_GAIN = 0.08
+"""The cut when the delay is twice the target."""
+
+RAISE_STEP = 0.04
 
 
 class RouteThrottle:
-    """Admits fewer requests while those admitted fail for want of room.
+    """Admits fewer requests while those admitted meet long queues and fail.
 
     Answers the load in which a service deep in the chain is full: each request
     that fails there has used the services above it, so it is refused where it
-    enters instead. ``tolerance`` is the share of failures that is borne; with a
-    larger one for more important routes, the least important are cut first.
+    enters instead. The queueing delay is the same for all nodes and all routes to
+    the full service; a longer ``target_delay_ms`` for a more important route lets
+    the less important ones make room first.
     """
 
     def __init__(
-        self, time_source: clock.Clock, random_source: random.Random, tolerance: float
+        self,
+        time_source: clock.Clock,
+        random_source: random.Random,
+        target_delay_ms: float,
     ) -> None:
         self.clock = time_source
         self.random = random_source
-        self.tolerance = tolerance
+        self.target_delay_ms = target_delay_ms
         self.share = 1.0
         self.exempt = False
         """Whether the requests are calls of instances, on which others wait."""
 
-        self.ended = 0
-        self.failed = 0.0
-        self.longest_delay_ms = 0.0
-        self.window_ends_ms = time_source.now_ms() + WINDOW_MS
+        self.failing = 0.0
+        """Moving average of the share of failures."""
+
+        self.samples = 0
+        self.delay_sum_ms = 0.0
+        self.window_started_ms = time_source.now_ms()
 
     def admits(self) -> bool:
         """Return whether the next request may be sent."""
@@ -55,25 +71,28 @@
 
         ``delay_ms`` is the queueing delay that its answer told of.
         """
-        self.ended += 1
-        self.failed += failure
-        self.longest_delay_ms = max(self.longest_delay_ms, delay_ms)
+        self.samples += 1
+        self.delay_sum_ms += delay_ms
+        weight = 0.05 if failure <= self.failing else 0.15
+        self.failing += weight * (failure - self.failing)
         self._advance()
 
     def _advance(self) -> None:
-        now_ms = self.clock.now_ms()
-        if now_ms < self.window_ends_ms:
+        elapsed_ms = self.clock.now_ms() - self.window_started_ms
+        if elapsed_ms < WINDOW_MS:
             return
-        self.window_ends_ms = now_ms + WINDOW_MS
-        if self.ended < LEAST_SAMPLES and self.share >= 1.0:
+        if self.samples < LEAST_SAMPLES and elapsed_ms < LONGEST_WINDOW_MS:
             return
         self._adapt()
-        self.ended, self.failed, self.longest_delay_ms = 0, 0.0, 0.0
+        self.failing *= math.exp(-elapsed_ms / FAILURE_MEMORY_MS)
+        self.samples, self.delay_sum_ms = 0, 0.0
+        self.window_started_ms += elapsed_ms
 
     def _adapt(self) -> None:
-        excess = self.failed / max(self.ended, 1) - self.tolerance
-        if excess > 0.0 and self.longest_delay_ms > DELAY_TARGET_MS:
-            cut = min(LARGEST_CUT, excess)
+        delay_ms = self.delay_sum_ms / max(self.samples, 1)
+        excess = delay_ms / self.target_delay_ms - 1.0
+        if excess > 0.0 and self.failing > HARMED_SHARE:
+            cut = min(LARGEST_CUT, CUT_GAIN * excess)
             self.share = max(LOWEST_SHARE, self.share * (1.0 - cut))
-        else:
+        elif excess < -0.3:
             self.share = min(1.0, self.share + RAISE_STEP)
--- a/src/jujubetiller/congestion/_throttles.py
+++ b/src/jujubetiller/congestion/_throttles.py
@@ -7,10 +7,10 @@
 
 MOST_ROUTES = 4_096
 
-LOWEST_TOLERANCE = 0.03
-"""Share of failures of the least important routes that is borne."""
+LOWEST_TARGET_DELAY_MS = 40.0
+"""The queueing delay that the least important routes bear."""
 
-TOLERANCE_STEP = 0.12
+TARGET_DELAY_STEP_MS = 130.0
 """What each class above the least important one bears more."""
 
 LEAST_IMPORTANT_CLASS = 2
@@ -33,7 +33,9 @@
                 self.by_route.pop(next(iter(self.by_route)))
             steps = max(0, LEAST_IMPORTANT_CLASS - priority_class)
             throttle = _route_throttle.RouteThrottle(
-                self.clock, self.random, LOWEST_TOLERANCE + TOLERANCE_STEP * steps
+                self.clock,
+                self.random,
+                LOWEST_TARGET_DELAY_MS + TARGET_DELAY_STEP_MS * steps,
             )
             self.by_route[route] = throttle
         return throttle
