--- a/src/jujubetiller/mesh/_instance_directory.py
+++ b/src/jujubetiller/mesh/_instance_directory.py
@@ -64,6 +64,11 @@
             self.apply_removals()
             self._follow()
 
+    def set_own_address(self, address: settings.Address) -> None:
+        """Follow the instance beside the node to another address."""
+        self.own_address = address
+        self._follow()
+
     def apply_removals(self) -> None:
         """Carry out the removals that waited, once the store has settled."""
         if not self.removals or not self.is_settled():
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -236,7 +236,10 @@
         self.settings = node_settings
         self.parts.settings = node_settings
         self.parts.target.settings = node_settings.target
-        self.parts.directory.own_address = node_settings.target.address
+        if "target" in changed:
+            # Connections that are kept lead to the old address.
+            self.parts.target.close()
+            self.parts.directory.set_own_address(node_settings.target.address)
         self.parts.budget.settings = node_settings.repeats
 
     def drain(self) -> "defer.Deferred[int]":
--- a/tests/mesh/test_drain.py
+++ b/tests/mesh/test_drain.py
@@ -49,7 +49,6 @@
             {"egress": self.port},  # type: ignore[dict-item]
             edges,
         )
-        self.mesh.target.close = lambda: None  # type: ignore[attr-defined]
         self.left_over: list[int] = []
         self.drain.finished.addCallback(self.left_over.append)
 
--- /dev/null
+++ b/tests/mesh/test_settings_file.py
@@ -0,0 +1,50 @@
+"""Guards against changed settings that are missed, and bad ones that are taken."""
+
+import pathlib
+
+from twisted.internet import task
+
+from jujubetiller import platform, settings
+from jujubetiller.mesh import _settings_file
+from tests.mesh import local_mesh
+from tests.platform import documents
+
+MOVED = documents.SETTINGS.replace("127.0.0.1:8301", "127.0.0.1:9301")
+
+
+def watch(path: pathlib.Path) -> tuple[task.Clock, list[settings.MeshSettings]]:
+    path.write_text(documents.SETTINGS)
+    reactor = task.Clock()
+    seen: list[settings.MeshSettings] = []
+    file = _settings_file.SettingsFile(
+        reactor, path, platform.load_settings, seen.append
+    )
+    file.start()
+    return reactor, seen
+
+
+def test_a_change_is_taken_in_without_a_signal(tmp_path: pathlib.Path) -> None:
+    reactor, seen = watch(tmp_path / "node.toml")
+    reactor.advance(1.0)
+    assert seen == []
+    (tmp_path / "node.toml").write_text(MOVED)
+    reactor.advance(1.0)
+    reactor.advance(1.0)
+    assert [loaded.target.address.port for loaded in seen] == [9301]
+
+
+def test_bad_settings_change_nothing(tmp_path: pathlib.Path) -> None:
+    reactor, seen = watch(tmp_path / "node.toml")
+    (tmp_path / "node.toml").write_text("node_id = 5")
+    reactor.advance(1.0)
+    (tmp_path / "node.toml").unlink()
+    reactor.advance(1.0)
+    assert seen == []
+
+
+def test_a_node_follows_the_new_address_of_its_instance() -> None:
+    node = local_mesh.LocalMesh()
+    node.node.reload(platform.load_settings(MOVED.encode()).unwrap())
+    node.list_instance("moved", service="ledger", address="127.0.0.1:9301")
+    assert node.parts.directory.own is not None
+    assert node.parts.directory.own.instance == "moved"
--- a/tests/node/local_node.py
+++ b/tests/node/local_node.py
@@ -110,6 +110,9 @@
         self.requests.append(SentRequest(request, on_end))
         return self.requests[-1]
 
+    def close(self) -> None:
+        """No connections are kept."""
+
 
 class LocalNode:
     """The parts of a ready node of the ledger that knows two booths."""
