--- a/src/jujubetiller/calls/_call_request.py
+++ b/src/jujubetiller/calls/_call_request.py
@@ -29,16 +29,16 @@
 
     deadline_left_ms: float
 
-    retry_tokens: int
+    retry_tokens: int = 0
     """Retry tokens lent to the receiver for the tree below this call."""
 
-    tree_id: str
+    tree_id: str = ""
     """Identifies the call tree that a client's request started."""
 
-    depth: int
+    depth: int = 0
     """Number of calls above this one in the tree."""
 
-    attempt: int
+    attempt: int = 1
     """1 for the first send of the call."""
 
     key: str = ""
--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -7,8 +7,14 @@
 import logbook
 import result
 
-from jujubetiller import calls, codes, edge, limits, retries, routes, routing
-from jujubetiller.mesh import _attempt_policy, _ingress_call, _mesh_parts, _replies
+from jujubetiller import calls, codes, edge, retries, routes, routing
+from jujubetiller.mesh import (
+    _attempt_policy,
+    _ingress_call,
+    _mesh_parts,
+    _replies,
+    _request,
+)
 
 _Code = codes.ResultCode
 _LOG = logbook.Logger("jujubetiller.mesh.request")
@@ -68,7 +74,7 @@
         self.started_at_ms = parts.clock.now_ms()
         self.service = parts.configuration.choose_service(route)
         self.request_id = message.control.get(parts.headers.request_id, "")
-        self.request = make_request(parts, message, route, self.service)
+        self.request = _request.make_request(parts, message, route, self.service)
         self.attempts = _attempt_policy.Attempts(route.idempotent, route.max_attempts)
         self.outcome = retries.RequestOutcome()
         self.excluded: frozenset[str] = frozenset()
@@ -268,36 +274,3 @@
             )
         if self.cancel_attempt is not None:
             self.cancel_attempt()
-
-
-def make_request(
-    parts: _mesh_parts.MeshParts,
-    message: edge.EdgeMessage,
-    route: routes.Route,
-    service: str,
-) -> calls.CallRequest:
-    """Return the call of a request, with the headers for the instance."""
-    names = parts.headers
-    own = (names.deadline_ms, names.expected_instance, names.caller_service)
-    passed = [pair for pair in message.control.items() if pair[0] not in own]
-    request_id = message.control.get(names.request_id, "")
-    return calls.CallRequest(
-        service=service,
-        method=message.method,
-        path=message.path,
-        kind=route.name,
-        priority_class=route.priority_class,
-        rank=limits.compute_rank(route.priority_class, request_id),
-        idempotent=route.idempotent,
-        deadline_left_ms=0.0,
-        retry_tokens=0,
-        tree_id="",
-        depth=0,
-        attempt=1,
-        headers=(
-            *message.headers,
-            *passed,
-            (names.caller_service, parts.settings.service),
-        ),
-        body=message.body,
-    )
--- a/src/jujubetiller/mesh/_state_exchange.py
+++ b/src/jujubetiller/mesh/_state_exchange.py
@@ -88,10 +88,6 @@
             rank=0,
             idempotent=True,
             deadline_left_ms=ANSWER_TIMEOUT_MS,
-            retry_tokens=0,
-            tree_id="",
-            depth=0,
-            attempt=1,
             body=question.encode(),
         )
         deadline = calls.Deadline.after(self.parts.clock, ANSWER_TIMEOUT_MS)
--- a/src/jujubetiller/node/_site.py
+++ b/src/jujubetiller/node/_site.py
@@ -101,10 +101,6 @@
             rank=0,
             idempotent=False,
             deadline_left_ms=0.0,
-            retry_tokens=0,
-            tree_id="",
-            depth=0,
-            attempt=1,
         )
         answer = calls.make_refusal(problem.code)
         record = _explanations.make_record(self.parts, request, answer, 0.0, 0.0)
@@ -170,10 +166,6 @@
         rank=0,
         idempotent=kind.idempotent,
         deadline_left_ms=0.0,
-        retry_tokens=0,
-        tree_id="",
-        depth=0,
-        attempt=1,
         key=message.control.get(edge.KEY_HEADER, ""),
         headers=message.headers,
         body=message.body,
--- a/standins/mesh_site/_instance_site.py
+++ b/standins/mesh_site/_instance_site.py
@@ -5,13 +5,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from jujubetiller import codes, edge
+from jujubetiller import edge
+from standins.mesh_site import _stand_in_site
 
 _ID = "jujubetiller-request-id"
 _EXPECTED = "jujubetiller-expected-instance"
 
 
-class InstanceSite(edge.EdgeHandler):
+class InstanceSite(_stand_in_site.StandInSite):
     """Runs requests that expect it and counts the runs of each.
 
     ``fault`` decides what becomes of the requests that ran: ``none``, ``lost``
@@ -29,14 +30,6 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self.cancelled = 0
 
-    def is_draining(self) -> bool:
-        """Return False: the instance keeps its connections."""
-        return False
-
-    def refuse(self, code: codes.ResultCode, detail: str) -> edge.EdgeReply:
-        """Return the answer to bytes that are no request."""
-        return edge.EdgeReply(400, [], detail.encode())
-
     def handle(
         self,
         message: edge.EdgeMessage,
@@ -46,13 +39,13 @@
         request = message.control.get(_ID, "")
         if message.control.get(_EXPECTED) != self.name:
             reply(edge.EdgeReply(421, [("Jujubetiller-Instance-Id", self.name)], b""))
-            return _do_nothing
+            return _stand_in_site.do_nothing
         if self.fault == "shed":
             reply(edge.EdgeReply(503, [("Jujubetiller-Not-Executed", "1")], b""))
-            return _do_nothing
+            return _stand_in_site.do_nothing
         self.runs[request] += 1
         if self.fault == "lost":
-            return _do_nothing
+            return _stand_in_site.do_nothing
         body = json.dumps({"instance": self.name, "path": message.path}).encode()
         headers = [(_ID, request), ("Jujubetiller-Server-Stamp", f"{self.name}.1")]
         timer = self.reactor.callLater(
@@ -64,7 +57,3 @@
             timer.cancel()
 
         return cancel
-
-
-def _do_nothing() -> None:
-    """Stand in for the cancel function of a request that has its answer."""
--- a/standins/mesh_site/_operator_site.py
+++ b/standins/mesh_site/_operator_site.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from jujubetiller import codes, edge
-from standins.mesh_site import _instance_site, _store_site
+from jujubetiller import edge
+from standins.mesh_site import _instance_site, _stand_in_site, _store_site
 
 
-class OperatorSite(edge.EdgeHandler):
+class OperatorSite(_stand_in_site.StandInSite):
     """Takes JSON commands by path: ``/put``, ``/remove``, ``/down``, ``/fault``.
 
     ``/runs`` returns how often each request ran.
@@ -29,14 +29,6 @@
             "/runs": self.list_runs,
         }
 
-    def is_draining(self) -> bool:
-        """Return False."""
-        return False
-
-    def refuse(self, code: codes.ResultCode, detail: str) -> edge.EdgeReply:
-        """Return the answer to bytes that are no request."""
-        return edge.EdgeReply(400, [], detail.encode())
-
     def handle(
         self,
         message: edge.EdgeMessage,
@@ -50,7 +42,7 @@
             document = json.loads(message.body) if message.body else None
             body = json.dumps(command(document)).encode()
             reply(edge.EdgeReply(200, [], body))
-        return lambda: None
+        return _stand_in_site.do_nothing
 
     def put(self, document: Any) -> None:
         """Write an item."""
--- a/standins/mesh_site/_store_site.py
+++ b/standins/mesh_site/_store_site.py
@@ -7,8 +7,9 @@
 
 import attrs
 
-from jujubetiller import codes, edge
+from jujubetiller import edge
 from standins import store
+from standins.mesh_site import _stand_in_site
 
 _JSON = ("Content-Type", "application/json")
 
@@ -22,7 +23,7 @@
     timer: Any
 
 
-class StoreSite(edge.EdgeHandler):
+class StoreSite(_stand_in_site.StandInSite):
     """Answers reads and holds watches until there is news.
 
     While ``down`` is set, every call is answered with 503.
@@ -34,14 +35,6 @@
         self.watches: set[_Watch] = set()
         self.down = False
 
-    def is_draining(self) -> bool:
-        """Return False: the store keeps its connections."""
-        return False
-
-    def refuse(self, code: codes.ResultCode, detail: str) -> edge.EdgeReply:
-        """Return the answer to bytes that are no request."""
-        return edge.EdgeReply(400, [], detail.encode())
-
     def handle(
         self,
         message: edge.EdgeMessage,
@@ -50,11 +43,11 @@
         """Answer a read at once and a watch when there is news."""
         if self.down:
             reply(edge.EdgeReply(503, [], b""))
-            return _do_nothing
+            return _stand_in_site.do_nothing
         answer = self.store.answer(message.path)
         if answer is not None:
             reply(edge.EdgeReply(answer[0], [_JSON], answer[1]))
-            return _do_nothing
+            return _stand_in_site.do_nothing
         query = dict(parse.parse_qsl(message.path.partition("?")[2]))
         watch = _Watch(message.path, reply, None)
         watch.timer = self.reactor.callLater(
@@ -80,7 +73,3 @@
         self.watches.discard(watch)
         if watch.timer.active():
             watch.timer.cancel()
-
-
-def _do_nothing() -> None:
-    """Stand in for the cancel function of a request that has its answer."""
--- a/tests/mesh/local_mesh.py
+++ b/tests/mesh/local_mesh.py
@@ -117,10 +117,6 @@
             rank=256,
             idempotent=True,
             deadline_left_ms=500.0,
-            retry_tokens=0,
-            tree_id="",
-            depth=0,
-            attempt=1,
             headers=(("jujubetiller-request-id", "r1"),),
             expected_instance=OWN,
         )
