Ignore entries of unknown services and late reports of earlier lifetimes

A well-formed entry of another writer at the address of a living instance took its place, and a report that arrived late took a restarted instance away.

--- a/src/jujubetiller/mesh/_configuration_in_force.py
+++ b/src/jujubetiller/mesh/_configuration_in_force.py
@@ -26,6 +26,10 @@
         """The version in force; 0 before the first."""
         return 0 if self.current is None else self.current.version
 
+    def is_service(self, name: str) -> bool:
+        """Return whether ``name`` is a service; without a configuration, any is."""
+        return self.current is None or name in self.current.services
+
     def take(self, items: list[published.PublishedItem]) -> None:
         """Put a newer configuration among ``items`` in force."""
         for item in items:
--- a/src/jujubetiller/mesh/_instance_directory.py
+++ b/src/jujubetiller/mesh/_instance_directory.py
@@ -24,8 +24,11 @@
 class InstanceDirectory:
     """Follows the published instances and tells the router.
 
-    While ``is_settled`` returns False, removals wait: entries lapse while the
-    store is away although their instances live, and they come back soon after.
+    Entries whose service ``is_service`` does not know name no instance to use, until
+    a configuration names their service.
+
+    While ``is_settled`` returns False, removals wait: entries lapse while the store
+    is away although their instances live, and they come back soon after.
     """
 
     def __init__(
@@ -35,12 +38,14 @@
         own_address: settings.Address,
         peer_port: int,
         is_settled: Callable[[], bool],
+        is_service: Callable[[str], bool],
     ) -> None:
         self.decoder = decoder
         self.router = router
         self.own_address = own_address
         self.peer_port = peer_port
         self.is_settled = is_settled
+        self.is_service = is_service
         self.listed: dict[str, _Listed] = {}
         self.removals: dict[str, int] = {}
         """Revisions of the removals that wait, by instance."""
@@ -62,12 +67,12 @@
                 changed = True
         if changed:
             self.apply_removals()
-            self._follow()
+            self.follow()
 
     def set_own_address(self, address: settings.Address) -> None:
         """Follow the instance beside the node to another address."""
         self.own_address = address
-        self._follow()
+        self.follow()
 
     def apply_removals(self) -> None:
         """Carry out the removals that waited, once the store has settled."""
@@ -77,13 +82,13 @@
             self.listed.pop(name, None)
             _LOG.info("instance removed", extra={"instance": name})
         self.removals = {}
-        self._follow()
+        self.follow()
 
     def peers(self) -> list[settings.Address]:
         """Return the addresses of the other nodes, in a fixed order."""
         hosts = {
             listed.instance.address.host
-            for listed in self.listed.values()
+            for listed in self.usable()
             if listed.instance.address != self.own_address
         }
         return [settings.Address(host, self.peer_port) for host in sorted(hosts)]
@@ -99,8 +104,11 @@
             self.listed.pop(name, None)
             _LOG.warning("instance rejected: {}", decoded.err_value)
             return
-        self.removals.pop(name, None)
         known = self.listed.get(name)
+        if known is not None and _is_older(decoded.ok_value, known.instance):
+            _LOG.info("older report ignored", extra={"instance": name})
+            return
+        self.removals.pop(name, None)
         if known is None or known.instance.draining != decoded.ok_value.draining:
             _LOG.info(
                 "instance listed",
@@ -117,24 +125,32 @@
     def _find_replaced(self) -> None:
         """Note which of the instances at one address is the last to have come."""
         newest: dict[settings.Address, _Listed] = {}
-        for listed in self.listed.values():
+        for listed in self.usable():
             address = listed.instance.address
             other = newest.get(address)
             if other is None or _came_later(listed, other):
                 newest[address] = listed
-        for listed in self.listed.values():
+        for listed in self.usable():
             listed.is_replaced = newest[listed.instance.address] is not listed
 
-    def _follow(self) -> None:
+    def usable(self) -> list[_Listed]:
+        """Return the entries whose service the configuration names."""
+        return [
+            listed
+            for listed in self.listed.values()
+            if self.is_service(listed.instance.service)
+        ]
+
+    def follow(self) -> None:
         """Bring what is derived from the list up to date."""
         self._find_replaced()
         self.own = None
-        for listed in self.listed.values():
+        for listed in self.usable():
             if listed.instance.address == self.own_address and not listed.is_replaced:
                 self.own = listed.instance
-        self.service_count = len({e.instance.service for e in self.listed.values()})
+        self.service_count = len({each.instance.service for each in self.usable()})
         self.router.update_instances(
-            make_routable(listed, self.peer_port) for listed in self.listed.values()
+            make_routable(listed, self.peer_port) for listed in self.usable()
         )
 
 
@@ -146,6 +162,15 @@
     )
 
 
+def _is_older(
+    report: published.PublishedInstance, known: published.PublishedInstance
+) -> bool:
+    """Return whether ``report`` was made before ``known``."""
+    if not report.born_ms or not known.born_ms:
+        return False
+    return (report.born_ms, report.sequence) < (known.born_ms, known.sequence)
+
+
 def make_routable(listed: _Listed, peer_port: int) -> routing.RoutableInstance:
     """Return what routing must know about a listed instance."""
     instance = listed.instance
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -89,6 +89,8 @@
         self.ports: dict[str, interfaces.IListeningPort] = {}
         self.edges: dict[str, edge.EdgeFactory] = {}
         self.draining: _drain.Drain | None = None
+        self.followed_version = 0
+        """The configuration whose services the directory has followed."""
 
     def _build_parts(
         self,
@@ -102,6 +104,9 @@
             time_source, random_source, node_settings.routing, node_settings.zone
         )
         guard = limits.build_guard(time_source, node_settings.limits)
+        configuration = _configuration_in_force.ConfigurationInForce(
+            decoder, node_settings.node
+        )
         return _mesh_parts.MeshParts(
             reactor=self.reactor,
             clock=time_source,
@@ -109,15 +114,14 @@
             settings=node_settings,
             headers=headers,
             state=_mesh_state.MeshState(),
-            configuration=_configuration_in_force.ConfigurationInForce(
-                decoder, node_settings.node
-            ),
+            configuration=configuration,
             directory=_instance_directory.InstanceDirectory(
                 decoder,
                 router,
                 node_settings.target.address,
                 node_settings.listen.peer.port,
                 self.settling.is_settled,
+                configuration.is_service,
             ),
             router=router,
             guard=guard,
@@ -213,6 +217,9 @@
     def take_instances(self, items: list[published.PublishedItem]) -> None:
         """Take in changed instances and follow the slots of the own one."""
         self.parts.directory.take(items)
+        if self.followed_version != self.parts.configuration.version:
+            self.followed_version = self.parts.configuration.version
+            self.parts.directory.follow()
         own = self.parts.directory.own
         if own is None:
             return
--- a/src/jujubetiller/platform/_instances.py
+++ b/src/jujubetiller/platform/_instances.py
@@ -28,4 +28,5 @@
         draining=_IS_DRAINING[state],
         warmup_left_ms=_fields.read_duration_ms(entry, "warmup_left", 0.0),
         born_ms=_fields.read_whole(entry, "born", default=0),
+        sequence=_fields.read_whole(entry, "sequence", default=0),
     )
--- a/src/jujubetiller/published/_published_instance.py
+++ b/src/jujubetiller/published/_published_instance.py
@@ -26,3 +26,6 @@
 
     born_ms: int
     """Unix time of the instance's start; 0 if it is not known."""
+
+    sequence: int = 0
+    """Number of the instance's report; it starts anew with each lifetime."""
--- a/tests/mesh/test_published_changes.py
+++ b/tests/mesh/test_published_changes.py
@@ -90,6 +90,32 @@
     assert node.parts.directory.rejected == 1
 
 
+def test_an_entry_of_an_unknown_service_replaces_nobody() -> None:
+    """Guards against a foreign entry that hides the instance at its address."""
+    node = local_mesh.LocalMesh()
+    born = documents.INSTANCE["born"] + 5
+    node.list_instance("forged", service="other", address="127.0.0.2:8301", born=born)
+    assert local_mesh.FIRST in names(node)
+    assert "forged" not in names(node)
+    clusters = [{"name": "booth"}, {"name": "ledger"}, {"name": "other"}]
+    node.publish(
+        "op/config",
+        documents.encode(documents.CONFIGURATION, version="0e", clusters=clusters),
+    )
+    assert "forged" in names(node)
+
+
+def test_a_late_report_of_an_earlier_lifetime_is_ignored() -> None:
+    """Guards against a restarted instance that an old report takes away."""
+    node = local_mesh.LocalMesh()
+    born = documents.INSTANCE["born"]
+    node.list_instance(local_mesh.FIRST, born=born + 10, sequence=1)
+    node.list_instance(local_mesh.FIRST, born=born, sequence=90, state="draining")
+    assert local_mesh.FIRST in names(node)
+    node.list_instance(local_mesh.FIRST, born=born + 10, sequence=2, state="draining")
+    assert local_mesh.FIRST not in names(node)
+
+
 def test_the_slots_of_the_own_instance_bound_the_guard() -> None:
     node = local_mesh.LocalMesh()
     before = node.parts.guard.limit
--- a/tests/platform/documents.py
+++ b/tests/platform/documents.py
@@ -78,7 +78,7 @@
             ],
         }
     ],
-    "clusters": [{"name": "ledger"}, {"name": "booth"}],
+    "clusters": [{"name": "ledger"}, {"name": "booth"}, {"name": "swatch"}],
 }
 
 
--- a/tests/platform/test_decoder.py
+++ b/tests/platform/test_decoder.py
@@ -27,6 +27,7 @@
         False,
         1500.0,
         1_700_000_000_000,
+        4,
     )
 
 
@@ -71,7 +72,7 @@
     assert DECODER.is_configuration(item.key)
     configuration = DECODER.decode_configuration(item).unwrap()
     assert configuration.version == 12
-    assert configuration.services == {"ledger", "booth"}
+    assert configuration.services == {"ledger", "booth", "swatch"}
     assert configuration.routes == (
         routes.Route(
             "read",
