--- a/src/jujubetiller/mesh/_instance_directory.py
+++ b/src/jujubetiller/mesh/_instance_directory.py
@@ -8,6 +8,8 @@
 
 from jujubetiller import published, routing, settings
 
+MOST_GONE = 4_096
+
 _LOG = logbook.Logger("jujubetiller.mesh")
 
 
@@ -50,6 +52,9 @@
         self.removals: dict[str, int] = {}
         """Revisions of the removals that wait, by instance."""
 
+        self.gone: dict[str, published.PublishedInstance] = {}
+        """The last reports of instances that were removed."""
+
         self.rejected = 0
         self.own: published.PublishedInstance | None = None
         """The instance beside the node, if it is listed."""
@@ -79,11 +84,20 @@
         if not self.removals or not self.is_settled():
             return
         for name in self.removals:
-            self.listed.pop(name, None)
+            self._forget(name)
             _LOG.info("instance removed", extra={"instance": name})
         self.removals = {}
         self.follow()
 
+    def _forget(self, name: str) -> None:
+        listed = self.listed.pop(name, None)
+        if listed is None:
+            return
+        self.gone.pop(name, None)
+        self.gone[name] = listed.instance
+        if len(self.gone) > MOST_GONE:
+            del self.gone[next(iter(self.gone))]
+
     def peers(self) -> list[settings.Address]:
         """Return the addresses of the other nodes, in a fixed order."""
         hosts = {
@@ -105,7 +119,8 @@
             _LOG.warning("instance rejected: {}", decoded.err_value)
             return
         known = self.listed.get(name)
-        if known is not None and _is_older(decoded.ok_value, known.instance):
+        last = self.gone.get(name) if known is None else known.instance
+        if last is not None and _is_older(decoded.ok_value, last):
             _LOG.info("older report ignored", extra={"instance": name})
             return
         self.removals.pop(name, None)
--- a/tests/mesh/test_published_changes.py
+++ b/tests/mesh/test_published_changes.py
@@ -116,6 +116,16 @@
     assert local_mesh.FIRST not in names(node)
 
 
+def test_a_late_report_does_not_bring_a_removed_instance_back() -> None:
+    node = local_mesh.LocalMesh()
+    node.list_instance(local_mesh.FIRST, sequence=9, state="draining")
+    node.remove_instance(local_mesh.FIRST)
+    node.list_instance(local_mesh.FIRST, sequence=8)
+    assert local_mesh.FIRST not in names(node)
+    node.list_instance(local_mesh.FIRST, sequence=10)
+    assert local_mesh.FIRST in names(node)
+
+
 def test_the_slots_of_the_own_instance_bound_the_guard() -> None:
     node = local_mesh.LocalMesh()
     before = node.parts.guard.limit
