--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -175,8 +175,8 @@
         self.tell_router(instance, answer)
         self.parts.delays.record(answer.queue_delay_ms)
         self.queue_delay_ms = max(self.queue_delay_ms, answer.queue_delay_ms)
-        if answer.is_nested:
-            self.throttle.exempt = True
+        if answer.code is _Code.ANSWERED:
+            self.throttle.exempt = answer.is_nested
         self.instance = None
         report = self.outcome.add(answer)
         left_ms = self.deadline.left_ms(self.parts.clock)
--- a/tests/mesh/test_requests.py
+++ b/tests/mesh/test_requests.py
@@ -215,6 +215,17 @@
         node.answer()
 
 
+def test_a_route_is_exempt_only_while_instances_make_its_calls() -> None:
+    """Guards against a client's route that is never shed after a wrong guess."""
+    node = local_mesh.LocalMesh()
+    for is_nested in (True, False):
+        node.ask("/book/1")
+        answer = local_node.make_answer()
+        answer.is_nested = is_nested
+        node.pool.calls[-1].reply(answer)
+        assert node.parts.throttles.find("book", 0).exempt is is_nested
+
+
 def test_a_lost_answer_is_given_up_for_another_instance() -> None:
     """Guards against calls that hang on a lost answer until their deadline."""
     node = local_mesh.LocalMesh()
