--- a/src/jujubetiller/edge/_edge_factory.py
+++ b/src/jujubetiller/edge/_edge_factory.py
@@ -36,6 +36,7 @@
         self.handler = handler
         self.max_body_bytes = max_body_bytes
         self.max_connections = max_connections
+        self.idle_ms = IDLE_MS
         self.channels: set[_edge_channel.EdgeChannel] = set()
         self.connections_refused = 0
         self.bodies_refused = 0
@@ -51,7 +52,7 @@
     def close_idle(self) -> None:
         """Close connections that nobody used for a long time."""
         self.reactor.callLater(SWEEP_MS / 1000.0, self.close_idle)
-        oldest_ms = self.clock.now_ms() - IDLE_MS
+        oldest_ms = self.clock.now_ms() - self.idle_ms
         for channel in tuple(self.channels):
             transport: Any = channel.transport
             if (
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -45,6 +45,9 @@
 USED_SLOTS_SHARE = 0.95
 """Some instances slow down when their last slots are taken."""
 
+LEAST_HEAD_BYTES = 65_536
+"""Bytes of a head are counted as they arrive, with those of requests behind it."""
+
 PIPELINE_DEPTH = 8
 """Requests of one connection that are under way at once."""
 
@@ -220,6 +223,7 @@
         if self.followed_version != self.parts.configuration.version:
             self.followed_version = self.parts.configuration.version
             self.parts.directory.follow()
+            self.follow_bounds()
         own = self.parts.directory.own
         if own is None:
             return
@@ -227,6 +231,19 @@
         if slots != self.parts.guard.slots:
             self.parts.guard.set_slots(slots)
 
+    def follow_bounds(self) -> None:
+        """Bound what clients may send as the configuration says."""
+        configuration = self.parts.configuration.current
+        factory = self.edges.get("egress")
+        if configuration is None or not isinstance(factory, edge.PipelinedFactory):
+            return
+        bounds = configuration.bounds
+        factory.idle_ms = bounds.idle_timeout_ms
+        factory.max_head_bytes = max(bounds.max_header_bytes, LEAST_HEAD_BYTES)
+        factory.max_body_bytes = min(
+            bounds.max_body_bytes, self.settings.streams.max_body_bytes
+        )
+
     def keep_house(self) -> None:
         """Carry out removals that waited for the store to settle."""
         self.parts.directory.apply_removals()
--- a/src/jujubetiller/platform/_settings.py
+++ b/src/jujubetiller/platform/_settings.py
@@ -12,6 +12,9 @@
 SETTINGS_VARIABLE = "JUJUBETILLER_CONFIG"
 """The environment variable with the path of the settings file."""
 
+MAX_BODY_BYTES = 67_108_864
+"""Bodies up to the largest bound that a configuration gives pass through."""
+
 REPEATED_LOG_LINES_PER_SECOND = 50
 
 
@@ -43,7 +46,10 @@
         ),
         store=_translate_store(_fields.read(document, "platform", dict)),
         streams=settings.StreamSettings(
-            connect_timeout_ms=300, heartbeat_ms=300, silent_after_ms=1_000
+            max_body_bytes=MAX_BODY_BYTES,
+            connect_timeout_ms=300,
+            heartbeat_ms=300,
+            silent_after_ms=1_000,
         ),
         limits=settings.LimitSettings(
             policy="fixed",
--- a/tests/mesh/test_published_changes.py
+++ b/tests/mesh/test_published_changes.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from jujubetiller import published, settings
+from jujubetiller import edge, published, settings
 from jujubetiller.mesh import _state_message
 from tests.mesh import local_mesh
 from tests.platform import documents
@@ -126,6 +126,23 @@
     assert local_mesh.FIRST in names(node)
 
 
+def test_clients_are_bound_by_the_configuration() -> None:
+    node = local_mesh.LocalMesh()
+    factory = edge.PipelinedFactory(node.reactor, node.clock, node.site, 1, 1)
+    node.node.edges["egress"] = factory
+    limits = {
+        "max_header_bytes": 100_000,
+        "max_body_bytes": 1_000,
+        "idle_timeout": "90s",
+    }
+    document = documents.encode(documents.CONFIGURATION, version="0e", limits=limits)
+    node.publish("op/config", document)
+    node.list_instance(local_mesh.FIRST, sequence=7)
+    assert factory.max_head_bytes == 100_000
+    assert factory.max_body_bytes == 1_000
+    assert factory.idle_ms == 90_000
+
+
 def test_the_slots_of_the_own_instance_bound_the_guard() -> None:
     node = local_mesh.LocalMesh()
     before = node.parts.guard.limit
