--- /dev/null
+++ b/tests/command/test_platform_settings.py
@@ -0,0 +1,34 @@
+"""Guards against platform settings that a check accepts and a node refuses."""
+
+import pathlib
+
+import pytest
+
+from jujubetiller import command
+from tests.platform import documents
+
+
+def test_settings_of_the_platform_are_checked(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(documents.SETTINGS)
+    assert command.run(["check-settings", str(path)]) == 0
+    assert "valid: node sidecar-a-1 of service ledger" in capsys.readouterr().out
+
+
+def test_wrong_settings_of_the_platform_are_named(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(documents.SETTINGS.replace("zone =", "zones ="))
+    assert command.run(["check-settings", str(path)]) == 1
+    assert "[400 BAD_SETTINGS] zone:" in capsys.readouterr().err
+
+
+def test_a_node_without_settings_says_what_is_missing(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.delenv("JUJUBETILLER_CONFIG", raising=False)
+    assert command.run(["mesh"]) == 2
+    assert "[411 BAD_COMMAND] settings:" in capsys.readouterr().err
