--- a/tests/mesh/test_processes.py
+++ b/tests/mesh/test_processes.py
@@ -216,3 +216,39 @@
     assert node.ask("/get/1", "during")[0] == 200
     node.wait_for("stopped")
     assert node.process.wait(10) == 0
+
+
+def test_a_frozen_node_is_left_and_wakes_without_harm(site: Site) -> None:
+    """Guards against a booking that a node runs when it wakes after it was refused."""
+    frozen, node = site.nodes["booth-1"], site.nodes["ledger-1"]
+    for number in range(4):
+        node.ask("/get/1", f"warm-{number}")
+    frozen.process.send_signal(signal.SIGSTOP)
+    answers = {
+        f"frozen-{number}": node.ask("/book/1", f"frozen-{number}", "POST")[0]
+        for number in range(6)
+    }
+    frozen.process.send_signal(signal.SIGCONT)
+    assert list(answers.values()).count(200) >= 4
+    assert frozen.ask("/book/1", "awake", "POST")[0] == 200
+    runs = site.tell("runs")
+    assert all(runs.get(request, 0) <= 1 for request in answers)
+    assert all(
+        request not in runs for request, status in answers.items() if status == 503
+    )
+
+
+def test_an_instance_that_refuses_is_avoided(site: Site) -> None:
+    site.tell("fault", instance="booth-1", fault="shed")
+    node = site.nodes["ledger-1"]
+    answers = [node.ask("/book/1", f"s{n}", "POST")[0] for n in range(10)]
+    assert answers.count(200) >= 9
+
+
+def test_settings_that_change_are_followed_on_a_signal(site: Site) -> None:
+    node = site.nodes["booth-1"]
+    path = site.folder / "booth-1.toml"
+    path.write_text(path.read_text().replace('grace = "6s"', 'grace = "5s"'))
+    node.process.send_signal(signal.SIGHUP)
+    assert node.wait_for("settings reloaded")["changed"] == ["grace_ms"]
+    assert node.ask("/get/1", "after")[0] == 200
