--- a/src/jujubetiller/mesh/_drain.py
+++ b/src/jujubetiller/mesh/_drain.py
@@ -12,6 +12,9 @@
 """New requests are taken for this long: clients learn of the stop from two failed
 questions for readiness, a second apart."""
 
+PEERS_MS = 2_400.0
+"""Calls of peers are taken for this long, and end while clients are still served."""
+
 END_MARGIN_MS = 600.0
 """The process ends this long before it would be killed."""
 
@@ -24,7 +27,11 @@
 
 
 class Drain:
-    """Tells peers, lets every request in flight end, and closes the node."""
+    """Tells peers, lets every request in flight end, and closes the node.
+
+    Peers are told late: the instance beside the node lives on, and no other node
+    can reach it.
+    """
 
     def __init__(
         self,
@@ -44,7 +51,6 @@
         _LOG.info("draining", extra={"in_flight": self.count_in_flight()})
         self.started_at_ms = self.parts.clock.now_ms()
         self.parts.state.draining = True
-        self.parts.pool.announce_draining()
         self.poll()
 
     def count_in_flight(self) -> int:
@@ -56,6 +62,9 @@
     def poll(self) -> None:
         """Close the node once nothing is in flight or the time is over."""
         elapsed_ms = self.parts.clock.now_ms() - self.started_at_ms
+        if elapsed_ms >= PEERS_MS and not self.parts.state.refuses_peers:
+            self.parts.state.refuses_peers = True
+            self.parts.pool.announce_draining()
         if elapsed_ms >= LISTEN_MS and self.is_listening:
             self.stop_listening()
         in_flight = self.count_in_flight()
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -213,7 +213,7 @@
             incarnation=1,
             boot_id=self.boot_id,
             key_epoch=0,
-            draining=self.parts.state.draining,
+            draining=self.parts.state.refuses_peers,
             state_digest=b"",
         )
 
