--- a/src/jujubetiller/platform/_settings.py
+++ b/src/jujubetiller/platform/_settings.py
@@ -15,7 +15,7 @@
 MAX_BODY_BYTES = 67_108_864
 """Bodies up to the largest bound that a configuration gives pass through."""
 
-REPEATED_LOG_LINES_PER_SECOND = 50
+REPEATED_LOG_LINES_PER_SECOND = 20
 
 
 def load_settings(
