Keep one function that cancels nothing, and drop what nothing uses

do_nothing stood in four modules. PublishedState.is_complete, a counter of the store reader and a check of the pipelined connection's transport had no use. The field for an instance's slow start has a name of the product. Behaviour is unchanged.

--- a/src/jujubetiller/edge/__init__.py
+++ b/src/jujubetiller/edge/__init__.py
@@ -1,7 +1,7 @@
 """HTTP listeners for clients and for the node's own target."""
 
 from jujubetiller.edge._edge_factory import EdgeFactory
-from jujubetiller.edge._edge_handler import EdgeHandler
+from jujubetiller.edge._edge_handler import EdgeHandler, do_nothing
 from jujubetiller.edge._edge_message import EdgeMessage
 from jujubetiller.edge._edge_reply import EdgeReply
 from jujubetiller.edge._headers import (
@@ -32,4 +32,5 @@
     "OUTCOME_HEADER",
     "RECORD_HEADER",
     "RETRY_TOKEN_HEADER",
+    "do_nothing",
 ]
--- a/src/jujubetiller/edge/_edge_handler.py
+++ b/src/jujubetiller/edge/_edge_handler.py
@@ -29,3 +29,7 @@
     @abc.abstractmethod
     def is_draining(self) -> bool:
         """Return whether connections are to be closed after their answer."""
+
+
+def do_nothing() -> None:
+    """Stand in for the cancel function of a request that has its answer."""
--- a/src/jujubetiller/edge/_pipelined_connection.py
+++ b/src/jujubetiller/edge/_pipelined_connection.py
@@ -224,8 +224,6 @@
 
     def pause(self) -> None:
         """Read no more for the time being."""
-        if isinstance(self.transport, protocol.Protocol):
-            return
         pause = getattr(self.transport, "pauseProducing", None)
         if pause is not None:
             pause()
--- a/src/jujubetiller/mesh/_egress_site.py
+++ b/src/jujubetiller/mesh/_egress_site.py
@@ -31,12 +31,12 @@
         """Start the call of a request, or refuse it."""
         if not self.parts.is_ready():
             reply(self.refuse(_Code.NOT_READY, "no configuration has been read yet"))
-            return do_nothing
+            return edge.do_nothing
         host = _ingress_call.find_header(message.headers, "host") or ""
         route = self.parts.configuration.table.find(host, message.path)
         if route is None:
             reply(self.refuse(_Code.NO_ROUTE, f"host {host!r}, path {message.path!r}"))
-            return do_nothing
+            return edge.do_nothing
         call = _egress_call.EgressCall(
             self.parts, message, route, self.find_deadline(message, route), reply
         )
@@ -52,7 +52,3 @@
         if text.isascii() and text.isdigit() and len(text) <= _MAX_DEADLINE_DIGITS:
             left_ms = min(left_ms, float(text))
         return calls.Deadline.after(self.parts.clock, left_ms)
-
-
-def do_nothing() -> None:
-    """Stand in for the cancel function of a request that has its answer."""
--- a/src/jujubetiller/mesh/_peer_calls.py
+++ b/src/jujubetiller/mesh/_peer_calls.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from jujubetiller import calls, codes, frames, streams
+from jujubetiller import calls, codes, edge, frames, streams
 from jujubetiller.mesh import _ingress_call, _mesh_parts, _state_exchange
 
 
@@ -23,10 +23,10 @@
         """Run a call at the node's own target."""
         if request.service == _state_exchange.STATE_SERVICE:
             reply(self.exchange.answer(request))
-            return _do_nothing
+            return edge.do_nothing
         if request.service != self.parts.settings.service:
             reply(calls.make_refusal(codes.ResultCode.WRONG_SERVICE))
-            return _do_nothing
+            return edge.do_nothing
         call = _ingress_call.IngressCall(self.parts, request, reply)
         call.begin()
         return call.cancel
@@ -51,7 +51,3 @@
 
     def peer_draining(self, peer: streams.PeerIdentity) -> None:
         """Learn that a peer stops; the stream refuses further calls to it."""
-
-
-def _do_nothing() -> None:
-    """Stand in for the cancel function of an answered call."""
--- a/src/jujubetiller/mesh/_peer_prober.py
+++ b/src/jujubetiller/mesh/_peer_prober.py
@@ -1,7 +1,5 @@
 """Attempts to reach nodes that were found away."""
 
-from typing import Any
-
 from jujubetiller import routing, streams
 from jujubetiller.mesh import _mesh_parts
 
@@ -46,7 +44,7 @@
     def _ended(
         self,
         instance: routing.RoutableInstance,
-        identity: streams.PeerIdentity | Any | None,
+        identity: streams.PeerIdentity | None,
     ) -> None:
         if identity is None or identity.draining:
             self._schedule(instance.instance)
--- a/src/jujubetiller/mesh/_status_sites.py
+++ b/src/jujubetiller/mesh/_status_sites.py
@@ -30,11 +30,7 @@
     ) -> Callable[[], None]:
         """Answer at once."""
         reply(self.make_reply())
-        return _do_nothing
-
-
-def _do_nothing() -> None:
-    """Stand in for the cancel function of an answered request."""
+        return edge.do_nothing
 
 
 def make_readiness(parts: _mesh_parts.MeshParts) -> edge.EdgeReply:
--- a/src/jujubetiller/node/_edge_site.py
+++ b/src/jujubetiller/node/_edge_site.py
@@ -47,11 +47,11 @@
         caller_key = self.read_key(message, kind)
         if isinstance(caller_key, result.Err):
             reply(self.refuse_unkeyed(message, caller_key.err_value))
-            return _site.do_nothing
+            return edge.do_nothing
         token = self.read_token(message, kind)
         if isinstance(token, result.Err):
             self.refuse_message(message, token.err_value, reply)
-            return _site.do_nothing
+            return edge.do_nothing
         request = _site.make_request(message, kind, path)
         client_call = _client_call.ClientCall(
             self.parts,
--- a/src/jujubetiller/node/_key_site.py
+++ b/src/jujubetiller/node/_key_site.py
@@ -6,7 +6,7 @@
 import result
 
 from jujubetiller import codes, edge, keys, routing, streams, tickets
-from jujubetiller.node import _node_parts, _replies, _site
+from jujubetiller.node import _node_parts, _replies
 
 _Code = codes.ResultCode
 
@@ -25,16 +25,16 @@
         if kind is None or method != "POST":
             detail = "allowed is POST /_keys/<request kind in force>"
             reply(_replies.render_refusal(_Code.UNKNOWN_REQUEST_KIND, detail))
-            return _site.do_nothing
+            return edge.do_nothing
         chosen = self.parts.router.choose(kind.service)
         if isinstance(chosen, result.Err):
             reply(_replies.render_refusal(chosen.err_value))
-            return _site.do_nothing
+            return edge.do_nothing
         instance = chosen.ok_value
         if instance.instance == self.parts.settings.instance:
             epoch = self.parts.executions.epochs.current()
             reply(self.mint(kind, instance, self.parts.state.boot_id, epoch))
-            return _site.do_nothing
+            return edge.do_nothing
 
         def connected(identity: streams.PeerIdentity | None) -> None:
             if identity is None or identity.instance != instance.instance:
@@ -48,7 +48,7 @@
             self.parts.settings.streams.connect_timeout_ms,
             connected,
         )
-        return _site.do_nothing
+        return edge.do_nothing
 
     def mint(
         self,
--- a/src/jujubetiller/node/_service_site.py
+++ b/src/jujubetiller/node/_service_site.py
@@ -25,7 +25,7 @@
         context = self.find_context(message)
         if isinstance(context, result.Err):
             self.refuse_message(message, context.err_value, reply)
-            return _site.do_nothing
+            return edge.do_nothing
         request = _site.make_request(message, kind, path)
         nested_call = _nested_call.NestedCall(
             self.parts, context.ok_value, kind, request, deadline_ms, reply
--- a/src/jujubetiller/node/_site.py
+++ b/src/jujubetiller/node/_site.py
@@ -40,12 +40,12 @@
         if isinstance(found, result.Err):
             problem = found.err_value if self.parts.state.ready else _NOT_READY
             self.refuse_message(message, problem, reply)
-            return do_nothing
+            return edge.do_nothing
         kind, path = found.ok_value
         deadline_ms = self.parse_deadline(message, kind)
         if isinstance(deadline_ms, result.Err):
             self.refuse_message(message, deadline_ms.err_value, reply)
-            return do_nothing
+            return edge.do_nothing
         return self.start_call(message, kind, path, deadline_ms.ok_value, reply)
 
     @abc.abstractmethod
@@ -149,10 +149,6 @@
         return None
 
 
-def do_nothing() -> None:
-    """Stand in for the cancel function of a request that has its answer."""
-
-
 def make_request(
     message: edge.EdgeMessage, kind: tickets.RequestKind, path: str
 ) -> calls.CallRequest:
--- a/src/jujubetiller/platform/_store_reader.py
+++ b/src/jujubetiller/platform/_store_reader.py
@@ -66,7 +66,6 @@
         self.had_news = False
         """Whether the last watch brought something."""
 
-        self.calls = 0
         self.waiting: defer.Deferred[Any] | None = None
 
     def start(self) -> None:
@@ -163,7 +162,6 @@
         self, path: str, query: dict[str, str], wait_ms: float
     ) -> tuple[int | str, Any]:
         """Return the status or the reason of a failure, and the parsed body."""
-        self.calls += 1
         answer = await self.reader.get(
             f"{path}?{parse.urlencode(query)}",
             wait_ms + self.settings.answer_timeout_ms,
--- a/src/jujubetiller/published/_published_instance.py
+++ b/src/jujubetiller/published/_published_instance.py
@@ -21,7 +21,7 @@
 
     draining: bool
 
-    warmup_left_ms: float
+    slow_for_ms: float
     """How much longer the instance is slow after its start."""
 
     born_ms: int
--- a/src/jujubetiller/published/_published_state.py
+++ b/src/jujubetiller/published/_published_state.py
@@ -27,10 +27,6 @@
 
         self.observers: list[Callable[[list[_Item]], None]] = []
 
-    def is_complete(self) -> bool:
-        """Return whether a whole listing was ever merged."""
-        return self.revision > 0
-
     def apply(self, changes: _changes.Changes) -> None:
         """Merge ``changes``.
 
--- a/standins/mesh_site/_instance_site.py
+++ b/standins/mesh_site/_instance_site.py
@@ -39,13 +39,13 @@
         request = message.control.get(_ID, "")
         if message.control.get(_EXPECTED) != self.name:
             reply(edge.EdgeReply(421, [("Jujubetiller-Instance-Id", self.name)], b""))
-            return _stand_in_site.do_nothing
+            return edge.do_nothing
         if self.fault == "shed":
             reply(edge.EdgeReply(503, [("Jujubetiller-Not-Executed", "1")], b""))
-            return _stand_in_site.do_nothing
+            return edge.do_nothing
         self.runs[request] += 1
         if self.fault == "lost":
-            return _stand_in_site.do_nothing
+            return edge.do_nothing
         body = json.dumps({"instance": self.name, "path": message.path}).encode()
         headers = [(_ID, request), ("Jujubetiller-Server-Stamp", f"{self.name}.1")]
         timer = self.reactor.callLater(
--- a/standins/mesh_site/_operator_site.py
+++ b/standins/mesh_site/_operator_site.py
@@ -42,7 +42,7 @@
             document = json.loads(message.body) if message.body else None
             body = json.dumps(command(document)).encode()
             reply(edge.EdgeReply(200, [], body))
-        return _stand_in_site.do_nothing
+        return edge.do_nothing
 
     def put(self, document: Any) -> None:
         """Write an item."""
--- a/standins/mesh_site/_stand_in_site.py
+++ b/standins/mesh_site/_stand_in_site.py
@@ -13,7 +13,3 @@
     def refuse(self, code: codes.ResultCode, detail: str) -> edge.EdgeReply:
         """Return the answer to bytes that are no request."""
         return edge.EdgeReply(400, [], detail.encode())
-
-
-def do_nothing() -> None:
-    """Stand in for the cancel function of a request that has its answer."""
--- a/standins/mesh_site/_store_site.py
+++ b/standins/mesh_site/_store_site.py
@@ -43,11 +43,11 @@
         """Answer a read at once and a watch when there is news."""
         if self.down:
             reply(edge.EdgeReply(503, [], b""))
-            return _stand_in_site.do_nothing
+            return edge.do_nothing
         answer = self.store.answer(message.path)
         if answer is not None:
             reply(edge.EdgeReply(answer[0], [_JSON], answer[1]))
-            return _stand_in_site.do_nothing
+            return edge.do_nothing
         query = dict(parse.parse_qsl(message.path.partition("?")[2]))
         watch = _Watch(message.path, reply, None)
         watch.timer = self.reactor.callLater(
