Send bookings until one runs at the victim

Cause: the tests before it freeze the node of an instance drawn by its key. Callers avoid a node for some seconds after it was silent, as they should; of the 24 bookings of one burst then none reached it. Freezing booth-2's or booth-1's node just before the burst showed it in 6 of 12 tries on real processes (24 of 24 answered elsewhere). Load alone was ruled out: the tries ran on a machine with free cores.

The three tests now send bursts until a booking runs at the victim, within the same time limit, so they also need the node to be used again. All bookings of all bursts are checked as before.

--- a/tests/faults/test_processes.py
+++ b/tests/faults/test_processes.py
@@ -97,6 +97,30 @@
     }
 
 
+def keep_busy(
+    local_site: site.LocalSite,
+    pool: concurrent.futures.Executor,
+    victim: str,
+    name: str,
+    many: int,
+) -> dict[str, Any]:
+    """Send bookings until some run at ``victim``; return all that were sent.
+
+    Callers avoid an instance for a while after its node was frozen, so that all
+    bookings of a burst may end elsewhere.
+    """
+    bookings: dict[str, Any] = {}
+
+    def is_busy() -> bool:
+        if all(future.done() for future in bookings.values()):
+            burst = f"{name}-{len(bookings)}"
+            bookings.update(start_bookings(local_site, pool, burst, many))
+        return running_at(local_site, victim) > 0
+
+    local_site.wait_until(is_busy, f"{victim} never ran a booking")
+    return bookings
+
+
 def check_bookings(local_site: site.LocalSite, bookings: dict[str, Any]) -> list[str]:
     """Wait for the answers; return a sentence for each broken promise."""
     broken = []
@@ -162,10 +186,7 @@
     victim = "booth-2"
     plan = next(one for one in local_site.plan.instances if one.instance == victim)
     with concurrent.futures.ThreadPoolExecutor(24) as pool:
-        bookings = start_bookings(local_site, pool, "target-killed", 24)
-        local_site.wait_until(
-            lambda: running_at(local_site, victim) > 0, "nothing ran there"
-        )
+        bookings = keep_busy(local_site, pool, victim, "target-killed", 24)
         before = local_site.target_runs(victim)["by_marker"]
         local_site.targets[victim].kill()
         outcomes = {marker: future.result(20)[0] for marker, future in bookings.items()}
@@ -189,10 +210,7 @@
     """SIGTERM while bookings run at the node and enter at it."""
     victim = "booth-3"
     with concurrent.futures.ThreadPoolExecutor(24) as pool:
-        bookings = start_bookings(local_site, pool, "stopped", 21)
-        local_site.wait_until(
-            lambda: running_at(local_site, victim) > 0, "nothing ran there"
-        )
+        bookings = keep_busy(local_site, pool, victim, "stopped", 21)
         status = local_site.nodes[victim].stop()
         broken = check_bookings(local_site, bookings)
     assert status == 0
@@ -205,10 +223,7 @@
     """A node dies with bookings in flight; new ones go to another instance."""
     victim = "booth-1"
     with concurrent.futures.ThreadPoolExecutor(24) as pool:
-        bookings = start_bookings(local_site, pool, "peer-killed", 24)
-        local_site.wait_until(
-            lambda: running_at(local_site, victim) > 0, "nothing ran there"
-        )
+        bookings = keep_busy(local_site, pool, victim, "peer-killed", 24)
         local_site.nodes[victim].kill()
         assert check_bookings(local_site, bookings) == []
     local_site.wait_until(
