Wake up for the next deadline only

Cause: a pool with calls under way ticked 100 times a second, and Twisted wakes up for timers that were cancelled: one for the patience of each call and one for the deadline at its target. Each wake-up is two system calls. The pool now sleeps until the first bucket of its wheel, and the reactor drops cancelled timers at the head of its heap.

--- a/src/jujubetiller/reactors/_direct_epoll_reactor.py
+++ b/src/jujubetiller/reactors/_direct_epoll_reactor.py
@@ -1,6 +1,7 @@
 """An epoll reactor with less work for each event."""
 
 import errno
+import heapq
 from typing import Any
 
 from twisted.internet import epollreactor, main
@@ -33,8 +34,16 @@
         super().runUntilCurrent()
 
     def timeout(self) -> float | None:
-        """Return the seconds until the next timer."""
+        """Return the seconds until the next timer that was not cancelled.
+
+        Most timers of calls are cancelled; the base class would wake up for them.
+        """
         self.turn_clock.expire()
+        self._insertNewDelayedCalls()
+        pending = self._pendingTimedCalls
+        while pending and pending[0].cancelled:
+            heapq.heappop(pending)
+            self._cancellations -= 1
         return super().timeout()
 
     def doPoll(self, timeout: float | None) -> None:
--- a/src/jujubetiller/streams/_deadline_wheel.py
+++ b/src/jujubetiller/streams/_deadline_wheel.py
@@ -19,6 +19,8 @@
         """Number of the last bucket that expired."""
 
         self._buckets: dict[int, dict[Item, None]] = {}
+        self._first: float = math.inf
+        """No bucket has a lower number; its items may have been removed."""
 
     def __len__(self) -> int:
         return sum(map(len, self._buckets.values()))
@@ -29,6 +31,7 @@
         bucket = self._buckets.get(number)
         if bucket is None:
             bucket = self._buckets[number] = {}
+            self._first = min(self._first, number)
         bucket[item] = None
         return number
 
@@ -40,9 +43,9 @@
             if not bucket:
                 del self._buckets[number]
 
-    def is_empty(self) -> bool:
-        """Return whether no item waits."""
-        return not self._buckets
+    def next_ms(self) -> float:
+        """Return a time before which no item expires; infinity if none waits."""
+        return self._first * self.tick_ms
 
     def expire(self, now_ms: float) -> list[Item]:
         """Remove and return the items whose time has passed, the earliest first."""
@@ -59,4 +62,5 @@
             bucket = buckets.pop(number, None)
             if bucket:
                 due += bucket
+        self._first = min(buckets, default=math.inf)
         return due
--- a/src/jujubetiller/streams/_pool_timer.py
+++ b/src/jujubetiller/streams/_pool_timer.py
@@ -3,45 +3,43 @@
 from collections.abc import Callable
 from typing import Any
 
+from jujubetiller import clock
+
 
 class PoolTimer:
-    """Calls ``tick`` often while deadlines wait and seldom otherwise.
+    """Calls ``tick`` when the next deadline passes.
 
     Ticks 100 times a second took 1.6% of a core in a pool without any stream.
     """
 
     def __init__(
-        self,
-        reactor: Any,
-        tick: Callable[[], None],
-        *,
-        short_ms: float,
-        long_ms: float,
+        self, reactor: Any, time_source: clock.Clock, tick: Callable[[], None]
     ) -> None:
+        self.reactor = reactor
+        self.clock = time_source
         self.tick = tick
-        self.short_ms = short_ms
-        self.long_ms = long_ms
-        self.is_resting = False
-        """Whether the next tick comes late because nothing has a deadline."""
+        self.at_ms = 0.0
+        """When the next tick is due."""
 
-        self.delayed_call = reactor.callLater(short_ms / 1000, self._run)
-        self.reactor = reactor
+        self.delayed_call: Any = None
 
     def _run(self) -> None:
         self.delayed_call = None
         self.tick()
 
-    def schedule(self, may_rest: bool) -> None:
+    def schedule(self, at_ms: float) -> None:
         """Schedule the next tick, which ``tick`` does each time."""
-        self.is_resting = may_rest
-        pause_ms = self.long_ms if may_rest else self.short_ms
-        self.delayed_call = self.reactor.callLater(pause_ms / 1000, self._run)
-
-    def end_rest(self) -> None:
-        """Bring the next tick forward, because a deadline waits now."""
-        if self.is_resting:
-            self.is_resting = False
-            self.delayed_call.reset(self.short_ms / 1000)
+        self.at_ms = at_ms
+        self.delayed_call = self.reactor.callLater(self._pause_s(), self._run)
+
+    def bring_forward(self, at_ms: float) -> None:
+        """Tick at ``at_ms`` if the next tick comes later."""
+        if at_ms < self.at_ms and self.delayed_call is not None:
+            self.at_ms = at_ms
+            self.delayed_call.reset(self._pause_s())
+
+    def _pause_s(self) -> float:
+        return max(0.0, self.at_ms - self.clock.now_ms()) / 1000.0
 
     def stop(self) -> None:
         """Tick no more."""
--- a/src/jujubetiller/streams/_stream_pool.py
+++ b/src/jujubetiller/streams/_stream_pool.py
@@ -75,9 +75,8 @@
         self._ports: list[interfaces.IListeningPort] = []
         pause_ms = stream_settings.heartbeat_ms / STREAM_TICKS_PER_HEARTBEAT
         self.stream_tick_ms = max(TICK_MS, pause_ms)
-        self.timer = _pool_timer.PoolTimer(
-            reactor, self._tick, short_ms=TICK_MS, long_ms=self.stream_tick_ms
-        )
+        self.timer = _pool_timer.PoolTimer(reactor, time_source, self._tick)
+        self.timer.schedule(time_source.now_ms() + TICK_MS)
         self._next_stream_tick_ms = 0.0
         self._next_identity_tick_ms = 0.0
         self._is_finished = False
@@ -165,8 +164,7 @@
         if self.closed is not None:
             outgoing.refuse(codes.ResultCode.DRAINING)
             return
-        if not self.context.wheel.is_empty():
-            self.timer.end_rest()
+        self.timer.bring_forward(self.context.wheel.next_ms())
         slot = self.slots.get(address)
         if slot is None:
             slot = self.slots[address] = self._make_slot(address)
@@ -236,7 +234,7 @@
         """
         if self.closed is None:
             self.closed = defer.Deferred()
-            self.timer.end_rest()
+            self.timer.bring_forward(self.context.clock.now_ms() + TICK_MS)
             self.listener.closing = True
             for port in self._ports:
                 port.stopListening()
@@ -275,11 +273,13 @@
     def _tick(self) -> None:
         now_ms = self.context.clock.now_ms()
         due = self.context.wheel.expire(now_ms)
-        self.timer.schedule(self.context.wheel.is_empty() and self.closed is None)
+        is_stream_tick = now_ms >= self._next_stream_tick_ms
+        if is_stream_tick:
+            self._next_stream_tick_ms = now_ms + self.stream_tick_ms
+        self._schedule_tick(now_ms)
         for item in due:
             item.expire()
-        if now_ms >= self._next_stream_tick_ms:
-            self._next_stream_tick_ms = now_ms + self.stream_tick_ms
+        if is_stream_tick:
             self._tick_streams(now_ms)
         if now_ms >= self._next_identity_tick_ms:
             self._next_identity_tick_ms = now_ms + IDENTITY_TICK_MS
@@ -288,6 +288,12 @@
                 stream.refresh_identity(identity)
         self._finish_if_closed()
 
+    def _schedule_tick(self, now_ms: float) -> None:
+        next_ms = min(self.context.wheel.next_ms(), self._next_stream_tick_ms)
+        if self.closed is not None:
+            next_ms = min(next_ms, now_ms + TICK_MS)
+        self.timer.schedule(next_ms)
+
     def _tick_streams(self, now_ms: float) -> None:
         for address, slot in list(self.slots.items()):
             slot.tick(now_ms)
--- a/tests/reactors/test_direct_epoll_reactor.py
+++ b/tests/reactors/test_direct_epoll_reactor.py
@@ -68,3 +68,20 @@
     reactor.run(installSignalHandlers=False)
     assert readings[::2] == readings[1::2]
     assert readings[0] < readings[2] < readings[4]
+
+
+def test_the_reactor_does_not_wake_up_for_cancelled_timers() -> None:
+    reactor: Any = reactors.DirectEpollReactor(clock.TurnClock(clock.SystemClock()))
+    turns: list[float | None] = []
+    poll = reactor.doIteration
+
+    def count_and_poll(timeout: float | None) -> None:
+        turns.append(timeout)
+        poll(timeout)
+
+    reactor.doIteration = count_and_poll
+    for number in range(20):
+        reactor.callLater(0.001 * number, lambda: None).cancel()
+    reactor.callLater(0.05, reactor.stop)
+    reactor.run(installSignalHandlers=False)
+    assert len(turns) < 10
