Check frames, sort headers and send first attempts with less work

Cause, by cProfile of 10,000 calls: the check of a frame's fields ran a dozen function calls over tuples, 7% of a node's time for encoding and decoding; headers were decoded and lowered twice, 5%; attrs.evolve copied the request of each first attempt, 3%; requests were built from a dict of keywords. The check is now one expression for each type of frame, headers are decoded once, and only a repeated send copies its request.

--- a/src/jujubetiller/edge/_pipelined_connection.py
+++ b/src/jujubetiller/edge/_pipelined_connection.py
@@ -66,7 +66,9 @@
     def begin_message(self) -> None:
         """Forget the last request."""
         self.url = b""
-        self.headers: list[tuple[bytes, bytes]] = []
+        self.headers: list[tuple[str, str]] = []
+        """Names, in lower case, and values."""
+
         self.body_parts: list[bytes] = []
         self.body_bytes = 0
         self.is_too_large = False
@@ -82,13 +84,13 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header."""
-        self.headers.append((name, value))
+        self.headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         """Tell a client that waits for it to send the body."""
         self.head_is_complete = True
         for name, value in self.headers:
-            if name.lower() == b"expect" and value.lower() == b"100-continue":
+            if name == "expect" and value.lower() == "100-continue":
                 assert self.transport is not None
                 self.transport.write(_CONTINUE)
 
@@ -141,15 +143,11 @@
     def sort_headers(self) -> tuple[tuple[tuple[str, str], ...], dict[str, str]]:
         """Return the headers to pass on and those of the product."""
         dropped = _hop_by_hop.find_hop_by_hop(
-            value.decode("latin-1")
-            for name, value in self.headers
-            if name.lower() == b"connection"
+            [value for name, value in self.headers if name == "connection"]
         )
         forwarded = []
         control = {}
-        for raw_name, raw_value in self.headers:
-            name = raw_name.decode("latin-1").lower()
-            value = raw_value.decode("latin-1")
+        for name, value in self.headers:
             if name.startswith(_headers.HEADER_PREFIX):
                 control[name] = value
             elif name not in dropped:
--- a/src/jujubetiller/frames/_call.py
+++ b/src/jujubetiller/frames/_call.py
@@ -27,6 +27,8 @@
 _REQUEST_NAMES = tuple(name for name, _ in _REQUEST_FIELDS)
 _REQUEST_COUNT = len(_REQUEST_NAMES)
 _flatten_request: Any = operator.attrgetter(*_REQUEST_NAMES)
+# The fields before the last stand in the order of the class.
+_make_request: Any = calls.CallRequest
 
 
 @attrs.define
@@ -70,9 +72,10 @@
     def from_fields(cls, values: list[Any]) -> Self:
         """Return the call of checked fields."""
         headers, body_length, checksum, body = values[_REQUEST_COUNT + 1 :]
-        request = calls.CallRequest(
-            **dict(zip(_REQUEST_NAMES, values[1:])),  # noqa: B905
+        request = _make_request(
+            *values[1:_REQUEST_COUNT],
             headers=tuple(zip(headers[::2], headers[1::2], strict=True)),
             body=body,
+            expected_instance=values[_REQUEST_COUNT],
         )
         return cls(values[0], request, body_length, checksum, len(body) == body_length)
--- a/src/jujubetiller/frames/_field_table.py
+++ b/src/jujubetiller/frames/_field_table.py
@@ -1,72 +1,25 @@
 """The check of a whole array of fields."""
 
-import itertools
-import operator
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from jujubetiller import codes
-from jujubetiller.frames import _flag, _number, _rule, _sized
-
-
-def _pick(indices: list[int]) -> Any:
-    """Return a function that takes the items at ``indices`` as a tuple."""
-    if len(indices) == 1:
-        index = indices[0]
-        return lambda values: (values[index],)
-    return operator.itemgetter(*indices) if indices else lambda values: ()
+from jujubetiller.frames import _rule
 
 
 class FieldTable:
-    """Names and rules of the fields of an array, in the order of the wire.
-
-    The check of good fields runs for each frame. It compares all types at once
-    and then all bounds of a sort at once, which takes half the time of a loop
-    over the rules.
-    """
+    """Names and rules of the fields of an array, in the order of the wire."""
 
     def __init__(self, name: str, fields: Sequence[tuple[str, _rule.Rule]]) -> None:
         self.name = name
         self.names = tuple(name for name, _ in fields)
         self.rules = tuple(rule for _, rule in fields)
         self.count = len(self.rules)
-        self._signatures = frozenset(
-            itertools.product(*(rule.TYPES for rule in self.rules))
-        )
-        numbers: list[tuple[int, _number.Number]] = []
-        sized: list[tuple[int, _sized.Sized]] = []
-        others: list[tuple[int, _rule.Rule]] = []
-        for index, rule in enumerate(self.rules):
-            if isinstance(rule, _number.Number):
-                numbers.append((index, rule))
-            elif isinstance(rule, _sized.Sized):
-                sized.append((index, rule))
-            elif not isinstance(rule, _flag.Flag):
-                others.append((index, rule))
-        self._pick_numbers = _pick([index for index, _ in numbers])
-        self._lowest = tuple(rule.lowest for _, rule in numbers)
-        self._highest = tuple(rule.highest for _, rule in numbers)
-        self._pick_sized = _pick([index for index, _ in sized])
-        self._max_lengths = tuple(rule.max_length for _, rule in sized)
-        self._others = tuple(others)
+        self._are_allowed = compile_check(self.rules)
 
     def allows(self, values: Sequence[Any]) -> bool:
         """Return whether every value is allowed in its field."""
-        if tuple(map(type, values)) not in self._signatures:
-            return False
-        numbers = self._pick_numbers(values)
-        if not (
-            all(map(operator.le, self._lowest, numbers))
-            and all(map(operator.le, numbers, self._highest))
-            and all(
-                map(operator.le, map(len, self._pick_sized(values)), self._max_lengths)
-            )
-        ):
-            return False
-        for index, rule in self._others:  # noqa: SIM110, all() is slower here
-            if not rule.allows(values[index]):
-                return False
-        return True
+        return len(values) == self.count and self._are_allowed(*values)
 
     def describe_problem(self, values: Sequence[Any]) -> codes.Problem:
         """Return the problem of values that ``allows`` rejected."""
@@ -84,3 +37,20 @@
                     f"allowed are {rule.allowed}, got {repr(value)[:80]}",
                 )
         raise AssertionError(f"the rules of {self.name} contradict each other")
+
+
+def compile_check(rules: Sequence[_rule.Rule]) -> Callable[..., bool]:
+    """Return a function that takes a value for each rule and checks them all.
+
+    The check runs for each frame. As one expression it takes a quarter of the time
+    of a loop over the rules.
+    """
+    values = [f"value_{index}" for index in range(len(rules))]
+    named = {f"rule_{index}": rule for index, rule in enumerate(rules)}
+    conditions = [
+        rule.condition(name, value)
+        for (name, rule), value in zip(named.items(), values, strict=True)
+    ]
+    source = f"lambda {', '.join(values)}: {' and '.join(conditions) or True}"
+    check: Callable[..., bool] = eval(source, dict(named))
+    return check
--- a/src/jujubetiller/frames/_flag.py
+++ b/src/jujubetiller/frames/_flag.py
@@ -12,3 +12,7 @@
     def allows(self, value: object) -> bool:
         """Return whether ``value`` is a bool."""
         return type(value) is bool
+
+    def condition(self, rule: str, value: str) -> str:
+        """Return the check of the type."""
+        return f"type({value}) is bool"
--- a/src/jujubetiller/frames/_number.py
+++ b/src/jujubetiller/frames/_number.py
@@ -20,3 +20,10 @@
             and type(value) in self.TYPES
             and self.lowest <= value <= self.highest
         )
+
+    def condition(self, rule: str, value: str) -> str:
+        """Return the check of the type and of the bounds."""
+        return (
+            f"type({value}) in {rule}.TYPES"
+            f" and {self.lowest!r} <= {value} <= {self.highest!r}"
+        )
--- a/src/jujubetiller/frames/_sized.py
+++ b/src/jujubetiller/frames/_sized.py
@@ -19,3 +19,7 @@
             and type(value) in self.TYPES
             and len(value) <= self.max_length
         )
+
+    def condition(self, rule: str, value: str) -> str:
+        """Return the check of the type and of the length."""
+        return f"type({value}) in {rule}.TYPES and len({value}) <= {self.max_length}"
--- a/src/jujubetiller/frames/_text_pairs.py
+++ b/src/jujubetiller/frames/_text_pairs.py
@@ -2,6 +2,8 @@
 
 from jujubetiller.frames import _rule
 
+_TEXT = frozenset((str,))
+
 
 class TextPairs(_rule.Rule):
     """A flat array of text: name, value, name, value."""
@@ -16,4 +18,4 @@
         """Return whether ``value`` is a flat array of pairs."""
         if type(value) is not list or len(value) > self.max_items or len(value) % 2:
             return False
-        return all(type(item) is str for item in value)
+        return _TEXT.issuperset(map(type, value))
--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -53,6 +53,7 @@
         "request",
         "request_id",
         "route",
+        "sends",
         "sent_at_ms",
         "service",
         "started_at_ms",
@@ -83,6 +84,7 @@
         self.queue_delay_ms = 0.0
         """The longest queueing delay that answers to this request told of."""
 
+        self.sends = 0
         self.sent_at_ms = 0.0
         self.cancel_attempt: Callable[[], None] | None = None
         self.patience: Any = None
@@ -112,13 +114,14 @@
     def send(self, instance: routing.RoutableInstance) -> None:
         """Send the request to the node of ``instance``, or to the own target."""
         self.sent_at_ms = self.parts.clock.now_ms()
-        request = attrs.evolve(
-            self.request,
-            expected_instance=instance.instance,
-            deadline_left_ms=self.deadline.at_ms - self.sent_at_ms,
-            attempt=self.request.attempt,
-        )
-        self.request.attempt += 1
+        request = self.request
+        if self.sends:
+            # The send before may still hold its request.
+            request = self.request = attrs.evolve(request)
+        self.sends += 1
+        request.attempt = self.sends
+        request.expected_instance = instance.instance
+        request.deadline_left_ms = self.deadline.at_ms - self.sent_at_ms
         self.parts.router.sent(instance)
         self.arm_patience()
         own = self.parts.directory.own
@@ -220,7 +223,7 @@
         )
         self.parts.metrics.count_refusal(answer.code.value)
         self.log_end(answer, edge_reply.status, took_ms)
-        if self.request.attempt > 1:
+        if self.sends:
             failure = self.rate_failure(edge_reply.status, took_ms)
             self.throttle.record(failure, self.queue_delay_ms)
         reply(edge_reply)
@@ -235,7 +238,7 @@
         """Write what decided, unless all went well within the objective."""
         if (
             status < _LOWEST_FAILURE_STATUS
-            and self.request.attempt == 2
+            and self.sends == 1
             and took_ms <= self.route.latency_objective_ms
         ):
             return
@@ -248,7 +251,7 @@
                 "service": self.service,
                 "code": answer.code.value,
                 "status": status,
-                "sends": self.request.attempt - 1,
+                "sends": self.sends,
                 "arrivals": self.attempts.arrivals,
                 "excluded": sorted(self.excluded),
                 "took_ms": round(took_ms, 1),
