--- a/tests/streams/test_decisions.py
+++ b/tests/streams/test_decisions.py
@@ -3,14 +3,19 @@
 import hypothesis
 import hypothesis.strategies as st
 import pytest
+from twisted.internet import task
 
 from jujubetiller import clock
 from jujubetiller.streams import (
     _body_sender,
     _deadline_wheel,
+    _pool_timer,
     _receive_window,
     _silence_detector,
 )
+from tests import reactor_clock
+
+STEP_S = 0.125
 
 
 def make_detector(
@@ -103,6 +108,28 @@
                 assert kept.pop(item)[0] <= now
             assert all(at > now - 10 for at, _ in kept.values())
         assert len(wheel) == len(kept)
+        assert all(wheel.next_ms() <= bucket * 10 for _, bucket in kept.values())
+
+
+def test_the_timer_sleeps_until_the_next_deadline_and_may_be_brought_forward() -> None:
+    reactor = task.Clock()
+    ticks: list[float] = []
+    timer: _pool_timer.PoolTimer
+
+    def tick() -> None:
+        ticks.append(round(reactor.seconds() * 1000.0))
+        timer.schedule(reactor.seconds() * 1000.0 + 500.0)
+
+    time_source = reactor_clock.ReactorClock(reactor)
+    timer = _pool_timer.PoolTimer(reactor, time_source, tick)
+    timer.schedule(125.0)
+    timer.bring_forward(250.0)
+    reactor.pump([STEP_S] * 2)
+    timer.bring_forward(375.0)
+    reactor.pump([STEP_S] * 6)
+    timer.stop()
+    reactor.pump([STEP_S] * 6)
+    assert ticks == [125, 375, 875]
 
 
 def test_parts_of_bodies_take_turns_and_wait_for_credit() -> None:
--- a/tests/streams/test_stream_pool.py
+++ b/tests/streams/test_stream_pool.py
@@ -263,3 +263,19 @@
     # 4 bytes of length and about 4 of frame, at most one PING or PONG a second.
     assert caller.pool.statistics().control_bytes_out - before <= 20 * 8
     assert not reactor.links[0][0].is_lost
+
+
+def test_a_call_under_way_does_not_keep_the_pool_awake() -> None:
+    reactor, caller, _ = nodes.connect_pair()
+    caller.call("slow", deadline_ms=10_000)
+    reactor.settle()
+    ticks: list[float] = []
+    tick = caller.pool.timer.tick
+
+    def count_and_tick() -> None:
+        ticks.append(reactor.seconds())
+        tick()
+
+    caller.pool.timer.tick = count_and_tick
+    reactor.pump([0.01] * 200)
+    assert len(ticks) <= 2_000 / caller.pool.stream_tick_ms + 1
