Split the pool of a service from its two ways to choose

RelativePool inherited the spill share and the probes of ServicePool, which it never used. ServicePool is now the abstract base class that knows the instances; SpillingPool and RelativePool choose among them.

--- a/src/jujubetiller/routing/__init__.py
+++ b/src/jujubetiller/routing/__init__.py
@@ -7,6 +7,7 @@
 from jujubetiller.routing._router import Router
 from jujubetiller.routing._service_pool import ServicePool
 from jujubetiller.routing._spill_share import SpillShare
+from jujubetiller.routing._spilling_pool import SpillingPool
 
 __all__ = [
     "InstanceStats",
@@ -16,4 +17,5 @@
     "Router",
     "ServicePool",
     "SpillShare",
+    "SpillingPool",
 ]
--- a/src/jujubetiller/routing/_relative_pool.py
+++ b/src/jujubetiller/routing/_relative_pool.py
@@ -57,7 +57,7 @@
             stats.slowness += _SAMPLE_WEIGHT * (ratio - stats.slowness)
 
     def usual_ms(self, kind: str) -> float | None:
-        """Return how long calls of ``kind`` take on the whole, if that is known."""
+        """Return how long calls of ``kind`` took lately; None before the first."""
         return self.times.by_kind.get(kind)
 
     def choose(self, exclude: frozenset[str], now_ms: float) -> _Stats | None:
--- a/src/jujubetiller/routing/_router.py
+++ b/src/jujubetiller/routing/_router.py
@@ -11,6 +11,7 @@
     _instance_stats,
     _routable_instance,
     _service_pool,
+    _spilling_pool,
 )
 
 _NO_INSTANCE: result.Err[codes.ResultCode] = result.Err(codes.ResultCode.NO_INSTANCE)
@@ -20,7 +21,7 @@
 class Router:
     """Chooses instances by what their answers showed, the own zone first."""
 
-    pool_class = _service_pool.ServicePool
+    pool_class: type[_service_pool.ServicePool] = _spilling_pool.SpillingPool
 
     def __init__(
         self,
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -98,7 +98,7 @@
 
 
 class RouterThatSendsToLeavingOnes(routing.Router):
-    class Pool(routing.ServicePool):
+    class Pool(routing.SpillingPool):
         def is_eligible(self, stats: routing.InstanceStats) -> bool:
             return True
 
