--- a/src/jujubetiller/mesh/_drain.py
+++ b/src/jujubetiller/mesh/_drain.py
@@ -3,7 +3,7 @@
 import logbook
 from twisted.internet import defer, interfaces
 
-from jujubetiller import edge
+from jujubetiller import edge, streams
 from jujubetiller.mesh import _mesh_parts
 
 _LOG = logbook.Logger("jujubetiller.mesh")
@@ -95,14 +95,10 @@
         elapsed_ms = self.parts.clock.now_ms() - self.started_at_ms
         end_ms = self.parts.settings.grace_ms - END_MARGIN_MS
         left_ms = max(FLUSH_MS, min(LONGEST_FLUSH_MS, end_ms - elapsed_ms))
-        bound = self.parts.reactor.callLater(left_ms / 1000.0, self.parts.pool.abort)
-
-        def closed(_: None) -> None:
-            if bound.active():
-                bound.cancel()
-            self.finish(left_over, self.parts.clock.now_ms() + FLUSH_MS)
-
-        self.parts.pool.close().addCallback(closed)
+        closing = streams.close_within(self.parts.reactor, self.parts.pool, left_ms)
+        closing.addCallback(
+            lambda _: self.finish(left_over, self.parts.clock.now_ms() + FLUSH_MS)
+        )
 
     def finish(self, left_over: int, latest_ms: float) -> None:
         """End once the answers to clients are written, or at ``latest_ms``."""
--- a/src/jujubetiller/node/_drain.py
+++ b/src/jujubetiller/node/_drain.py
@@ -3,6 +3,7 @@
 import logbook
 from twisted.internet import defer, interfaces
 
+from jujubetiller import streams
 from jujubetiller.node import _control_loop, _node_parts, _platform_reading
 
 _LOG = logbook.Logger("jujubetiller.node")
@@ -65,15 +66,8 @@
             _LOG.warning("drain time is over with {} calls in flight", left_over)
         self.control_loop.stop()
         self.parts.target.close()
-        closing = self.parts.pool.close()
         elapsed_ms = self.parts.clock.now_ms() - self.started_at_ms
         # Peers may still read long answers, which have the rest of the time.
         left_ms = max(GRACE_MS, self.parts.settings.control.drain_ms - elapsed_ms)
-        bound = self.parts.reactor.callLater(left_ms / 1000.0, self.parts.pool.abort)
-
-        def closed(_: None) -> None:
-            if bound.active():
-                bound.cancel()
-            self.finished.callback(left_over)
-
-        closing.addCallback(closed)
+        closing = streams.close_within(self.parts.reactor, self.parts.pool, left_ms)
+        closing.addCallback(lambda _: self.finished.callback(left_over))
--- a/src/jujubetiller/streams/__init__.py
+++ b/src/jujubetiller/streams/__init__.py
@@ -1,5 +1,6 @@
 """Streams between nodes: calls, seals and control messages over TCP."""
 
+from jujubetiller.streams._close_within import close_within
 from jujubetiller.streams._outgoing_call import OutgoingCall
 from jujubetiller.streams._peer_identity import PeerIdentity
 from jujubetiller.streams._stream_handler import StreamHandler
@@ -12,4 +13,5 @@
     "StreamHandler",
     "StreamPool",
     "StreamStatistics",
+    "close_within",
 ]
