Warm up new instances for the time that they tell

An instance publishes how much longer it is slow; nodes decoded it and used a fixed 3 s instead, and none at their own start. The test fails before.

--- a/src/jujubetiller/mesh/_instance_directory.py
+++ b/src/jujubetiller/mesh/_instance_directory.py
@@ -198,4 +198,5 @@
         incarnation=instance.born_ms,
         boot_id=str(instance.born_ms),
         leaving=instance.draining or listed.is_replaced,
+        slow_start_ms=instance.slow_for_ms,
     )
--- a/src/jujubetiller/platform/_settings.py
+++ b/src/jujubetiller/platform/_settings.py
@@ -58,7 +58,6 @@
             queue_wait_ms=400,
             congested_wait_ms=250,
         ),
-        routing=settings.RoutingSettings(slow_start_ms=3_000),
         logs=settings.LogSettings(repeats_per_second=REPEATED_LOG_LINES_PER_SECOND),
         grace_ms=int(_fields.read_duration_ms(bounds, "grace", 6_000.0)),
     )
--- a/src/jujubetiller/routing/_routable_instance.py
+++ b/src/jujubetiller/routing/_routable_instance.py
@@ -23,6 +23,9 @@
     boot_id: str
     leaving: bool = False
 
+    slow_start_ms: float | None = None
+    """How much longer the instance is slow after its start, if that is known."""
+
     @functools.cached_property
     def address(self) -> settings.Address:
         """The address of the node's peer listener."""
--- a/src/jujubetiller/routing/_service_pool.py
+++ b/src/jujubetiller/routing/_service_pool.py
@@ -51,16 +51,19 @@
     ) -> None:
         """Replace the list of instances; what is known of an incarnation stays.
 
-        Instances of a service that was unknown until now count as warm, because
-        this node cannot tell which of them are new.
+        Instances that don't tell how long they are slow get the slow start of the
+        settings. Those of a service that was unknown until now count as warm then,
+        because this node cannot tell which of them are new.
         """
-        warm_at_ms = now_ms
-        if self.stats:
-            warm_at_ms += self.routing_settings.slow_start_ms
+        slow_start_ms = self.routing_settings.slow_start_ms if self.stats else 0
         stats: dict[str, _Stats] = {}
         for instance in sorted(instances, key=lambda each: each.instance):
             known = self.stats.get(instance.instance)
             if known is None or not known.instance.may_be_process_of(instance):
+                warm_in_ms = instance.slow_start_ms
+                if warm_in_ms is None:
+                    warm_in_ms = slow_start_ms
+                warm_at_ms = now_ms + warm_in_ms
                 stats[instance.instance] = _Stats(instance, now_ms, warm_at_ms)
                 continue
             # Within one process, leaving is final: a list that is behind must not
--- a/tests/routing/test_relative_pool.py
+++ b/tests/routing/test_relative_pool.py
@@ -60,3 +60,18 @@
     assert pool.weight(slow, manual_clock.now_ms()) < 0.1
     manual_clock.advance(20_000)
     assert pool.weight(slow, manual_clock.now_ms()) > 0.9
+
+
+def test_a_new_instance_gets_more_calls_as_its_slow_time_passes() -> None:
+    """An instance tells how long it is slow; nodes that just started know it too."""
+    manual_clock = clock.ManualClock()
+    router = test_router.make_router(manual_clock, router_class=routing.RelativeRouter)
+    cold = test_router.make_instance("a-1", slow_start_ms=2_000.0)
+    warm = test_router.make_instance("a-2", slow_start_ms=0.0)
+    router.update_instances([cold, warm])
+    shares = []
+    for _ in range(3):
+        chosen = [router.choose("ledger").unwrap().instance for _ in range(400)]
+        shares.append(chosen.count("a-1") / 400)
+        manual_clock.advance(1_000)
+    assert shares[0] < 0.1 < shares[1] < 0.4 < shares[2] < 0.6
