Refuse a request whose head takes longer than the configuration allows

The configuration's header_timeout was decoded and not used: a client that stopped inside a head held its connection until the idle time. The test fails before.

--- a/src/jujubetiller/edge/_pipelined_connection.py
+++ b/src/jujubetiller/edge/_pipelined_connection.py
@@ -18,6 +18,7 @@
 )
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_NO_HTTP = "allowed is HTTP/1.1 with printable characters"
 
 
 class PipelinedConnection(protocol.Protocol):
@@ -40,6 +41,9 @@
         self.last_active_ms = 0.0
         self.is_closing = False
         self.head_bytes = 0
+        self.head_started_ms: float | None = None
+        """When the first byte of a head came whose end is missing."""
+
         self.begin_message()
 
     def connectionMade(self) -> None:
@@ -58,10 +62,15 @@
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.refuse_rest()
+            self.refuse_rest(_NO_HTTP)
             return
         if not self.head_is_complete and self.head_bytes > self.factory.max_head_bytes:
-            self.refuse_rest()
+            self.refuse_rest(_NO_HTTP)
+
+    def refuse_slow_head(self, oldest_ms: float) -> None:
+        """Refuse a request whose head began before ``oldest_ms`` and goes on."""
+        if self.head_started_ms is not None and self.head_started_ms < oldest_ms:
+            self.refuse_rest("the head of the request took too long")
 
     def begin_message(self) -> None:
         """Forget the last request."""
@@ -77,6 +86,7 @@
     def on_message_begin(self) -> None:
         """Start a request."""
         self.begin_message()
+        self.head_started_ms = self.last_active_ms
 
     def on_url(self, url: bytes) -> None:
         """Keep a part of the path."""
@@ -89,6 +99,7 @@
     def on_headers_complete(self) -> None:
         """Tell a client that waits for it to send the body."""
         self.head_is_complete = True
+        self.head_started_ms = None
         for name, value in self.headers:
             if name == "expect" and value.lower() == "100-continue":
                 assert self.transport is not None
@@ -204,16 +215,12 @@
         if not self.waiting:
             self.resume()
 
-    def refuse_rest(self) -> None:
+    def refuse_rest(self, reason: str) -> None:
         """Refuse bytes that are no request with a number, behind all answers."""
         if self.is_closing:
             return
         self.is_closing = True
-        problem = codes.Problem(
-            codes.ResultCode.BAD_REQUEST,
-            "request",
-            "allowed is HTTP/1.1 with printable characters",
-        )
+        problem = codes.Problem(codes.ResultCode.BAD_REQUEST, "request", reason)
         exchange = _exchange.Exchange(b"", keep_alive=False)
         if len(self.requests) >= self.factory.pipeline_depth:
             self.waiting.append((exchange, problem))
--- a/src/jujubetiller/edge/_pipelined_factory.py
+++ b/src/jujubetiller/edge/_pipelined_factory.py
@@ -7,6 +7,11 @@
 
 MAX_HEAD_BYTES = 65_536
 
+HEAD_TIMEOUT_MS = 60_000.0
+"""A client has this long for the head of a request."""
+
+HEAD_SWEEP_MS = 1_000.0
+
 
 class PipelinedFactory(_edge_factory.EdgeFactory):
     """Builds connections that handle several requests of a client at once."""
@@ -26,3 +31,12 @@
         super().__init__(reactor, time_source, handler, max_body_bytes, max_connections)
         self.pipeline_depth = pipeline_depth
         self.max_head_bytes = max_head_bytes
+        self.head_timeout_ms = HEAD_TIMEOUT_MS
+        reactor.callLater(HEAD_SWEEP_MS / 1000.0, self.refuse_slow_heads)
+
+    def refuse_slow_heads(self) -> None:
+        """Refuse requests whose heads take too long; the bytes so far are lost."""
+        self.reactor.callLater(HEAD_SWEEP_MS / 1000.0, self.refuse_slow_heads)
+        oldest_ms = self.clock.now_ms() - self.head_timeout_ms
+        for channel in tuple(self.channels):
+            channel.refuse_slow_head(oldest_ms)  # type: ignore[attr-defined]
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -239,6 +239,7 @@
             return
         bounds = configuration.bounds
         factory.idle_ms = bounds.idle_timeout_ms
+        factory.head_timeout_ms = bounds.header_timeout_ms
         factory.max_head_bytes = max(bounds.max_header_bytes, LEAST_HEAD_BYTES)
         factory.max_body_bytes = min(
             bounds.max_body_bytes, self.settings.streams.max_body_bytes
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -269,6 +269,23 @@
     return connection
 
 
+def test_a_head_that_takes_too_long_is_refused_behind_earlier_answers() -> None:
+    listener = recording.Listener(factory_class=edge.PipelinedFactory)
+    slow, waiting = listener.connect(), listener.connect()
+    slow.request("/booth/a")
+    slow.receive(b"GET /booth/b HTTP/1.1\r\nHost:")
+    waiting.request("/booth/c")
+    listener.clock.advance(61_000)
+    listener.reactor.advance(1)
+    assert slow.take() == ""
+    listener.handler.replies[0](ok())
+    answers = slow.take()
+    assert answers.startswith("HTTP/1.1 200 ")
+    assert "HTTP/1.1 400 " in answers
+    assert slow.transport.disconnecting
+    assert not waiting.transport.disconnecting
+
+
 def test_pipelined_requests_run_at_once_and_are_answered_in_order() -> None:
     """Guards against a slow request that holds up those behind it."""
     listener = pipelined()
