--- a/src/jujubetiller/platform/_configuration.py
+++ b/src/jujubetiller/platform/_configuration.py
@@ -7,6 +7,8 @@
 
 KEY = "op/config"
 
+HIGHEST_PRIORITY_CLASS = 2**20
+
 _IS_IDEMPOTENT = {"idempotent": True, "non_idempotent": False}
 
 
@@ -59,7 +61,9 @@
             rule, "target_latency", timeout_ms
         ),
         max_attempts=_fields.read_whole(action, "max_attempts", 1),
-        priority_class=_fields.read_whole(rule, "priority", default=0),
+        priority_class=_fields.read_whole(
+            rule, "priority", highest=HIGHEST_PRIORITY_CLASS, default=0
+        ),
     )
 
 
--- a/src/jujubetiller/platform/_fields.py
+++ b/src/jujubetiller/platform/_fields.py
@@ -8,10 +8,13 @@
 
 from jujubetiller import schema, settings
 
-_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+_DURATION = re.compile(r"(\d{1,9}(?:\.\d{1,9})?)(ms|s)")
 _MS_BY_UNIT = {"ms": 1.0, "s": 1_000.0}
 _REQUIRED: Any = object()
 
+HIGHEST_WHOLE = 2**53
+"""Larger numbers lose digits in what other programs take for JSON."""
+
 
 def read_duration_ms(document: Any, name: str, default: Any = _REQUIRED) -> float:
     """Return a time in milliseconds, written like ``1500ms`` or ``2.5s``."""
@@ -25,12 +28,18 @@
 
 
 def read_whole(
-    document: Any, name: str, lowest: int = 0, default: Any = _REQUIRED
+    document: Any,
+    name: str,
+    lowest: int = 0,
+    highest: int = HIGHEST_WHOLE,
+    default: Any = _REQUIRED,
 ) -> int:
-    """Return a whole number of at least ``lowest``."""
+    """Return a whole number from ``lowest`` to ``highest``."""
     value = read(document, name, int, default)
-    if isinstance(value, bool) or value < lowest:
-        raise schema.FieldError(name, f"allowed are whole numbers from {lowest}")
+    if isinstance(value, bool) or not lowest <= value <= highest:
+        raise schema.FieldError(
+            name, f"allowed are whole numbers from {lowest} to {highest}"
+        )
     return int(value)
 
 
