Ignore the end of an attempt that was given up

Cause: when a node loses patience it cancels the attempt and sends the next; the pool reports the cancelled call in a later turn, and its end was taken for that of the next attempt. The new test fails before; the fake pool of the tests never reported cancelled calls.

--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -1,5 +1,6 @@
 """One request that entered at this node."""
 
+import functools
 from collections.abc import Callable
 from typing import Any
 
@@ -124,14 +125,15 @@
         request.deadline_left_ms = self.deadline.at_ms - self.sent_at_ms
         self.parts.router.sent(instance)
         self.arm_patience()
+        answered = functools.partial(self.attempt_answered, self.sends)
         own = self.parts.directory.own
         if own is not None and own.instance == instance.instance:
-            local = _ingress_call.IngressCall(self.parts, request, self.answered)
+            local = _ingress_call.IngressCall(self.parts, request, answered)
             self.cancel_attempt = local.cancel
             local.begin()
             return
         outgoing = self.parts.pool.send_call(
-            instance.address, request, self.deadline, self.answered
+            instance.address, request, self.deadline, answered
         )
         self.cancel_attempt = outgoing.cancel
 
@@ -157,9 +159,7 @@
         if not self.parts.budget.may_repeat(self.service):
             return
         self.cancel_attempt = None
-        instance, self.instance = self.instance, None
         cancel()
-        self.instance = instance
         self.answered(calls.make_refusal(_Code.ANSWER_OVERDUE))
 
     def disarm_patience(self) -> None:
@@ -168,6 +168,15 @@
         if patience is not None:
             patience.cancel()
 
+    def attempt_answered(self, number: int, answer: calls.CallAnswer) -> None:
+        """Take in the end of attempt ``number``.
+
+        The pool reports a call that was cancelled in a later turn, when the next
+        attempt may be under way.
+        """
+        if number == self.sends and self.cancel_attempt is not None:
+            self.answered(answer)
+
     def answered(self, answer: calls.CallAnswer) -> None:
         """Take in the end of an attempt, then finish or send again."""
         instance = self.instance
--- a/src/jujubetiller/platform/_fields.py
+++ b/src/jujubetiller/platform/_fields.py
@@ -31,8 +31,8 @@
     document: Any,
     name: str,
     lowest: int = 0,
-    highest: int = HIGHEST_WHOLE,
     default: Any = _REQUIRED,
+    highest: int = HIGHEST_WHOLE,
 ) -> int:
     """Return a whole number from ``lowest`` to ``highest``."""
     value = read(document, name, int, default)
--- a/tests/mesh/test_requests.py
+++ b/tests/mesh/test_requests.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from jujubetiller import codes
+from jujubetiller import calls, codes
 from tests.mesh import local_mesh
 from tests.node import local_node
 
@@ -226,8 +226,8 @@
         assert node.parts.throttles.find("book", 0).exempt is is_nested
 
 
-def test_a_lost_answer_is_given_up_for_another_instance() -> None:
-    """Guards against calls that hang on a lost answer until their deadline."""
+def lose_patience() -> tuple[local_mesh.LocalMesh, local_node.SentCall]:
+    """Return a node that gave up an attempt, and the attempt."""
     node = local_mesh.LocalMesh()
     node.list_instance("ledger-2", service="ledger", address="127.0.0.8:8301")
     node.remove_instance(local_mesh.OWN)
@@ -238,14 +238,31 @@
         node.answer()
     while node.pool.calls[-1].request.service != "ledger" or node.outstanding() == 0:
         node.ask("/read/1")
+    node.replies.clear()
     silent = node.pool.calls[-1]
     node.reactor.advance(0.3)
     assert silent.cancelled == 1
+    return node, silent
+
+
+def test_a_lost_answer_is_given_up_for_another_instance() -> None:
+    """Guards against calls that hang on a lost answer until their deadline."""
+    node, silent = lose_patience()
     assert node.pool.calls[-1] is not silent
     node.answer()
     assert node.replies[-1].status == 200
 
 
+def test_the_late_end_of_a_given_up_attempt_is_not_that_of_the_next() -> None:
+    """The pool reports a cancelled call in a later turn, when the next one runs."""
+    node, silent = lose_patience()
+    silent.reply(calls.make_refusal(Code.CANCELLED_WHILE_RUNNING))
+    assert node.replies == []
+    node.answer()
+    assert [reply.status for reply in node.replies] == [200]
+    assert node.outstanding() == 0
+
+
 def test_a_silent_attempt_of_a_booking_is_waited_for() -> None:
     node = local_mesh.LocalMesh()
     for _ in range(20):
