Run the platform's site of processes from the stand-ins

The demonstration can use it next to the tests. Nodes get the search path of the caller, as other children do, so the tests need no PYTHONPATH.

--- a/standins/mesh_site/__init__.py
+++ b/standins/mesh_site/__init__.py
@@ -1,7 +1,16 @@
 """The store and the instances around mesh nodes, in one process."""
 
 from standins.mesh_site._instance_site import InstanceSite
+from standins.mesh_site._local_mesh_site import HOSTS, LocalMeshSite
+from standins.mesh_site._mesh_process import MeshProcess
 from standins.mesh_site._operator_site import OperatorSite
 from standins.mesh_site._store_site import StoreSite
 
-__all__ = ["InstanceSite", "OperatorSite", "StoreSite"]
+__all__ = [
+    "HOSTS",
+    "InstanceSite",
+    "LocalMeshSite",
+    "MeshProcess",
+    "OperatorSite",
+    "StoreSite",
+]
--- /dev/null
+++ b/standins/mesh_site/_local_mesh_site.py
@@ -0,0 +1,111 @@
+"""A site of the users' platform as processes on loopback."""
+
+import contextlib
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+from typing import Any
+
+from standins import site
+from standins.mesh_site import _mesh_process, documents
+
+HOSTS = {"booth-1": "127.0.3.1", "booth-2": "127.0.3.2", "ledger-1": "127.0.3.3"}
+"""The instances and their addresses."""
+
+
+def find_port_base() -> int:
+    """Return a port after which some are free on all addresses."""
+    with contextlib.closing(socket.socket()) as probe:
+        probe.bind(("127.0.3.1", 0))
+        return int(probe.getsockname()[1]) % 20_000 + 20_000
+
+
+class LocalMeshSite:
+    """Runs a store, instances and the nodes beside them."""
+
+    def __init__(self, folder: pathlib.Path, stack: contextlib.ExitStack) -> None:
+        self.folder, self.stack = folder, stack
+        self.base = find_port_base()
+        instances = [
+            {"name": name, "service": name.partition("-")[0], "host": host}
+            for name, host in HOSTS.items()
+        ]
+        app_port = self.base + _mesh_process.OFFSETS["instance"]
+        arguments = {"instances": instances, "app_port": app_port}
+        self.child = site.Child("standins.mesh_site", [json.dumps(arguments)])
+        stack.callback(self.child.close)
+        self.ports = self.child.read_hello()
+        self.nodes: dict[str, _mesh_process.MeshProcess] = {}
+
+    def start(self) -> None:
+        """Publish a configuration, start all nodes and wait for the store's answers."""
+        self.publish(1)
+        for name in HOSTS:
+            self.start_node(name)
+        for node in self.nodes.values():
+            node.wait_for("store answers")
+
+    def tell(self, command: str, **document: Any) -> Any:
+        """Do an operator's action at the stand-ins and return the answer."""
+        url = f"http://127.0.0.1:{self.ports['operator']}/{command}"
+        return site.request_json("POST", url, document)
+
+    def publish(self, version: int, service: str = "booth") -> None:
+        """Publish a configuration that sends all requests to ``service``."""
+        rule = documents.CONFIGURATION["listeners"][0]["rules"][1]
+        action = {"service": service, "timeout": "3000ms", "max_attempts": 2}
+        read = {
+            **rule,
+            "name": "get",
+            "kind": "idempotent",
+            "match": {"prefix": "/get/"},
+        }
+        rules = [{**rule, "action": action}, {**read, "action": action}]
+        configuration = {
+            **documents.CONFIGURATION,
+            "version": f"{version:08x}",
+            "listeners": [{"host": "a.example", "rules": rules}],
+        }
+        self.tell("put", key="op/config", value=configuration)
+        for name, host in HOSTS.items():
+            entry = {
+                **documents.INSTANCE,
+                "service": name.partition("-")[0],
+                "address": f"{host}:{self.base + _mesh_process.OFFSETS['instance']}",
+            }
+            self.tell("put", key=f"servers/{name}", value=entry)
+
+    def start_node(self, name: str) -> _mesh_process.MeshProcess:
+        """Start the node beside the instance ``name``."""
+        host = HOSTS[name]
+        ports = {
+            listener: str(self.base + offset)
+            for listener, offset in _mesh_process.OFFSETS.items()
+        }
+        text = (
+            documents.SETTINGS.replace("127.0.0.1", host)
+            .replace('"ledger"', f'"{name.partition("-")[0]}"')
+            .replace("[7620, 7635]", f"[{ports['peer']}, {ports['last']}]")
+            .replace(":8301", f":{ports['instance']}")
+            .replace(":8304", f":{ports['egress']}")
+            .replace(":8302", f":{ports['readiness']}")
+            .replace("127.0.0.9:8309", f"127.0.0.1:{self.ports['store']}")
+        )
+        path = self.folder / f"{name}.toml"
+        path.write_text(text)
+        process = subprocess.Popen(
+            [sys.executable, "-m", "jujubetiller", "mesh"],
+            stdout=subprocess.PIPE,
+            text=True,
+            env={
+                **os.environ,
+                "JUJUBETILLER_CONFIG": str(path),
+                "PYTHONPATH": os.pathsep.join(sys.path) or ".",
+            },
+        )
+        node = self.nodes[name] = _mesh_process.MeshProcess(host, self.base, process)
+        self.stack.callback(node.close)
+        return node
--- /dev/null
+++ b/standins/mesh_site/_mesh_process.py
@@ -0,0 +1,68 @@
+"""A node on the users' platform as a process."""
+
+import contextlib
+import http.client
+import json
+import subprocess
+from typing import Any
+
+import attrs
+
+ANSWER_TIMEOUT_S = 10.0
+END_TIMEOUT_S = 10.0
+
+OFFSETS = {"instance": 1, "readiness": 2, "egress": 4, "peer": 5, "last": 9}
+"""Ports after the first one of a site; all hosts use the same."""
+
+
+@attrs.define
+class MeshProcess:
+    """A node's process and its listeners."""
+
+    host: str
+
+    ports: int
+    """The port before those of the instance and the listeners."""
+
+    process: subprocess.Popen[str]
+
+    def wait_for(self, message: str) -> dict[str, Any]:
+        """Read log lines up to the one with ``message``."""
+        assert self.process.stdout is not None
+        for line in self.process.stdout:
+            document: dict[str, Any] = json.loads(line)
+            if document["message"] == message:
+                return document
+        raise AssertionError(f"the node ended before {message!r}")
+
+    def ask(self, path: str, request: str, method: str = "GET") -> tuple[int, bytes]:
+        """Send a request with the id ``request``; return the status and the body."""
+        with self.connect("egress") as connection:
+            headers = {
+                "Host": "a.example",
+                "Jujubetiller-Request-Id": request,
+                "Jujubetiller-Deadline-Ms": "4000",
+            }
+            connection.request(method, path, headers=headers)
+            answer = connection.getresponse()
+            return answer.status, answer.read()
+
+    def connect(self, listener: str) -> contextlib.closing[http.client.HTTPConnection]:
+        """Return a connection to a listener; it closes at the end of its block."""
+        port = self.ports + OFFSETS[listener]
+        return contextlib.closing(
+            http.client.HTTPConnection(self.host, port, timeout=ANSWER_TIMEOUT_S)
+        )
+
+    def readiness(self) -> int:
+        """Return the status of the readiness listener."""
+        with self.connect("readiness") as connection:
+            connection.request("GET", "/readiness")
+            return connection.getresponse().status
+
+    def close(self) -> None:
+        """End the process, whatever its state, and free its output."""
+        self.process.kill()
+        self.process.wait(END_TIMEOUT_S)
+        assert self.process.stdout is not None
+        self.process.stdout.close()
--- a/tests/command/test_platform_settings.py
+++ b/tests/command/test_platform_settings.py
@@ -5,7 +5,7 @@
 import pytest
 
 from jujubetiller import command
-from tests.platform import documents
+from standins.mesh_site import documents
 
 
 def test_settings_of_the_platform_are_checked(
--- a/tests/mesh/local_mesh.py
+++ b/tests/mesh/local_mesh.py
@@ -9,9 +9,9 @@
 
 from jujubetiller import calls, codes, edge, mesh, platform, published, settings
 from jujubetiller.mesh import _egress_site, _peer_calls
+from standins.mesh_site import documents
 from tests import reactor_clock
 from tests.node import local_node
-from tests.platform import documents
 
 Item = published.PublishedItem
 OWN = "own-1"
--- a/tests/mesh/test_published_changes.py
+++ b/tests/mesh/test_published_changes.py
@@ -4,8 +4,8 @@
 
 from jujubetiller import edge, published, settings
 from jujubetiller.mesh import _state_message
+from standins.mesh_site import documents
 from tests.mesh import local_mesh
-from tests.platform import documents
 
 OLD = documents.encode(documents.CONFIGURATION, version="0000000b", listeners=[])
 NEW = documents.encode(documents.CONFIGURATION, version="0000000d", listeners=[])
--- a/tests/mesh/test_settings_file.py
+++ b/tests/mesh/test_settings_file.py
@@ -6,8 +6,8 @@
 
 from jujubetiller import platform, settings
 from jujubetiller.mesh import _settings_file
+from standins.mesh_site import documents
 from tests.mesh import local_mesh
-from tests.platform import documents
 
 MOVED = documents.SETTINGS.replace("127.0.0.1:8301", "127.0.0.1:9301")
 
--- a/tests/platform/test_any_documents.py
+++ b/tests/platform/test_any_documents.py
@@ -9,7 +9,7 @@
 import result
 
 from jujubetiller import platform, published
-from tests.platform import documents
+from standins.mesh_site import documents
 
 VALUES = st.recursive(
     st.none()
--- a/tests/platform/test_decoder.py
+++ b/tests/platform/test_decoder.py
@@ -6,7 +6,7 @@
 import result
 
 from jujubetiller import codes, platform, published, routes, settings
-from tests.platform import documents
+from standins.mesh_site import documents
 
 DECODER = platform.PlatformDecoder()
 
