--- a/standins/mesh_site/_local_mesh_site.py
+++ b/standins/mesh_site/_local_mesh_site.py
@@ -33,8 +33,8 @@
             {"name": name, "service": name.partition("-")[0], "host": host}
             for name, host in HOSTS.items()
         ]
-        app_port = self.base + _mesh_process.OFFSETS["instance"]
-        arguments = {"instances": instances, "app_port": app_port}
+        self.app_port = self.base + _mesh_process.OFFSETS["instance"]
+        arguments = {"instances": instances, "app_port": self.app_port}
         self.child = site.Child("standins.mesh_site", [json.dumps(arguments)])
         stack.callback(self.child.close)
         self.ports = self.child.read_hello()
