--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -59,6 +59,7 @@
         "service",
         "started_at_ms",
         "throttle",
+        "tried",
     )
 
     def __init__(
@@ -86,6 +87,9 @@
         """The longest queueing delay that answers to this request told of."""
 
         self.sends = 0
+        self.tried: tuple[str, ...] = ()
+        """The instances that the request was sent to, in order."""
+
         self.sent_at_ms = 0.0
         self.cancel_attempt: Callable[[], None] | None = None
         self.patience: Any = None
@@ -120,6 +124,7 @@
             # The send before may still hold its request.
             request = self.request = attrs.evolve(request)
         self.sends += 1
+        self.tried = (*self.tried, instance.instance)
         request.attempt = self.sends
         request.expected_instance = instance.instance
         request.deadline_left_ms = self.deadline.at_ms - self.sent_at_ms
@@ -262,7 +267,7 @@
                 "status": status,
                 "sends": self.sends,
                 "arrivals": self.attempts.arrivals,
-                "excluded": sorted(self.excluded),
+                "instances": self.tried,
                 "took_ms": round(took_ms, 1),
                 "queue_delay_ms": round(self.queue_delay_ms, 1),
                 "admitted_share": round(self.throttle.share, 2),
--- a/tests/mesh/test_requests.py
+++ b/tests/mesh/test_requests.py
@@ -1,5 +1,6 @@
 """Guards against requests that run twice, are refused falsely or are never answered."""
 
+import logbook
 import pytest
 
 from jujubetiller import calls, codes
@@ -226,6 +227,19 @@
         assert node.parts.throttles.find("book", 0).exempt is is_nested
 
 
+def test_the_line_of_a_request_names_its_instances_in_order() -> None:
+    """Guards against a failure of which nobody can tell where it happened."""
+    node = local_mesh.LocalMesh()
+    with logbook.TestHandler() as handler:
+        node.ask("/book/1")
+        node.answer(Code.QUEUE_FULL)
+        node.answer(Code.STREAM_LOST)
+    (record,) = [r for r in handler.records if r.channel.endswith("mesh.request")]
+    sent_to = tuple(call.request.expected_instance for call in node.pool.calls)
+    assert len(sent_to) == 2
+    assert record.extra["instances"] == sent_to
+
+
 def lose_patience() -> tuple[local_mesh.LocalMesh, local_node.SentCall]:
     """Return a node that gave up an attempt, and the attempt."""
     node = local_mesh.LocalMesh()
