Show the path of the users' platform in make demo

A calm time, a killed node, a store that turns all away, a new configuration and a planned stop on real processes; it fails when a request that should be served was not, or ran twice.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 
 demo: environment
 	$(PYTHON) -m bench.demo
+	$(PYTHON) -m bench.mesh_demo
 
 bench: environment
 	$(PYTHON) -m bench.run
