--- a/src/jujubetiller/frames/_field_table.py
+++ b/src/jujubetiller/frames/_field_table.py
@@ -42,8 +42,8 @@
 def compile_check(rules: Sequence[_rule.Rule]) -> Callable[..., bool]:
     """Return a function that takes a value for each rule and checks them all.
 
-    The check runs for each frame. As one expression it takes a quarter of the time
-    of a loop over the rules.
+    The check runs for each frame, and one expression takes less time than a call for
+    each rule. Its source comes from the rules alone, never from what is received.
     """
     values = [f"value_{index}" for index in range(len(rules))]
     named = {f"rule_{index}": rule for index, rule in enumerate(rules)}
