Make the linter pass over the target package

.gitignore's target/ also hid src/jujubetiller/target from the linter; since only the build folder is ignored, it found one nested if there.

--- a/src/jujubetiller/target/_target_connection.py
+++ b/src/jujubetiller/target/_target_connection.py
@@ -141,9 +141,9 @@
         note = _NOTED_HEADERS.get(lower)
         if note is not None:
             note(self, value)
-        if self.call is not None and self.call.request.echo is not None:
-            if lower == self.call.request.echo[0]:
-                self.echoed = value.decode("latin-1")
+        echo = None if self.call is None else self.call.request.echo
+        if echo is not None and lower == echo[0]:
+            self.echoed = value.decode("latin-1")
         if lower not in _HOP_BY_HOP:
             self.response_headers.append((text, value.decode("latin-1")))
 
