Derive the sends of a request from its instances, and share two constants

A request kept the instances that it was sent to three times: in order, as a set, and as a number. The set and the number are derived now, and a slot that nothing filled is gone. The lowest status of a failure stood in four modules and the refusals for load in two; each has one place.

--- a/src/jujubetiller/calls/__init__.py
+++ b/src/jujubetiller/calls/__init__.py
@@ -1,8 +1,14 @@
 """The data of a call on its way through nodes."""
 
-from jujubetiller.calls._call_answer import CallAnswer
+from jujubetiller.calls._call_answer import LOWEST_FAILURE_STATUS, CallAnswer
 from jujubetiller.calls._call_request import CallRequest
 from jujubetiller.calls._deadline import Deadline
 from jujubetiller.calls._refusal import make_refusal
 
-__all__ = ["CallAnswer", "CallRequest", "Deadline", "make_refusal"]
+__all__ = [
+    "LOWEST_FAILURE_STATUS",
+    "CallAnswer",
+    "CallRequest",
+    "Deadline",
+    "make_refusal",
+]
--- a/src/jujubetiller/calls/_call_answer.py
+++ b/src/jujubetiller/calls/_call_answer.py
@@ -4,6 +4,9 @@
 
 from jujubetiller import codes, records
 
+LOWEST_FAILURE_STATUS = 500
+"""From this HTTP status on, an answer tells that the target failed."""
+
 
 @attrs.define
 class CallAnswer:
--- a/src/jujubetiller/limits/_target_guard.py
+++ b/src/jujubetiller/limits/_target_guard.py
@@ -20,7 +20,7 @@
 
 # Calls that the target itself shed or that came too late for any instance do not
 # show that this guard lacks room.
-_LOAD_CODES = frozenset((_Code.QUEUE_FULL, _Code.QUEUE_EVICTED, _Code.QUEUE_DEADLINE))
+LOAD_CODES = frozenset((_Code.QUEUE_FULL, _Code.QUEUE_EVICTED, _Code.QUEUE_DEADLINE))
 
 
 class TargetGuard:
@@ -233,6 +233,6 @@
         entry.state = _State.ENDED
         entry.wait_ms = now_ms - entry.enqueued_at_ms
         self.refusals[code] += 1
-        if code in _LOAD_CODES:
+        if code in LOAD_CODES:
             self.refusal_level.record_refusal(entry.rank)
         entry.refuse(code)
--- a/src/jujubetiller/mesh/_attempt_policy.py
+++ b/src/jujubetiller/mesh/_attempt_policy.py
@@ -14,7 +14,6 @@
 LEAST_LEFT_MS = 20.0
 """A request with less time left is not sent again."""
 
-_LOWEST_FAILURE_STATUS = 500
 
 # The instance itself refused the request, so it counts as sent there.
 _REFUSED_BY_INSTANCE = frozenset((_Code.TARGET_SHED, _Code.WRONG_SERVICE))
@@ -75,7 +74,7 @@
             return False
         if answer.outcome is codes.Outcome.UNKNOWN:
             return True
-        return answer.status >= _LOWEST_FAILURE_STATUS
+        return answer.status >= calls.LOWEST_FAILURE_STATUS
 
 
 def did_arrive(answer: calls.CallAnswer) -> bool:
--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -19,7 +19,6 @@
 
 _Code = codes.ResultCode
 _LOG = logbook.Logger("jujubetiller.mesh.request")
-_LOWEST_FAILURE_STATUS = 500
 
 LATE_FAILURE = 0.5
 """What an answer beyond the latency objective counts as."""
@@ -43,9 +42,7 @@
         "attempts",
         "cancel_attempt",
         "deadline",
-        "excluded",
         "instance",
-        "message",
         "outcome",
         "queue_delay_ms",
         "parts",
@@ -54,7 +51,6 @@
         "request",
         "request_id",
         "route",
-        "sends",
         "sent_at_ms",
         "service",
         "started_at_ms",
@@ -80,13 +76,11 @@
         self.request = _request.make_request(parts, message, route, self.service)
         self.attempts = _attempt_policy.Attempts(route.idempotent, route.max_attempts)
         self.outcome = retries.RequestOutcome()
-        self.excluded: frozenset[str] = frozenset()
         self.instance: routing.RoutableInstance | None = None
         self.throttle = parts.throttles.find(route.name, route.priority_class)
         self.queue_delay_ms = 0.0
         """The longest queueing delay that answers to this request told of."""
 
-        self.sends = 0
         self.tried: tuple[str, ...] = ()
         """The instances that the request was sent to, in order."""
 
@@ -107,8 +101,8 @@
 
     def attempt(self) -> None:
         """Choose an instance and send the request to it."""
-        chosen = self.parts.router.choose(self.service, self.excluded)
-        if isinstance(chosen, result.Err) and self.excluded:
+        chosen = self.parts.router.choose(self.service, frozenset(self.tried))
+        if isinstance(chosen, result.Err) and self.tried:
             chosen = self.parts.router.choose(self.service)
         if isinstance(chosen, result.Err):
             self.finish(self.outcome.add(calls.make_refusal(chosen.err_value)))
@@ -120,17 +114,16 @@
         """Send the request to the node of ``instance``, or to the own target."""
         self.sent_at_ms = self.parts.clock.now_ms()
         request = self.request
-        if self.sends:
+        if self.tried:
             # The send before may still hold its request.
             request = self.request = attrs.evolve(request)
-        self.sends += 1
         self.tried = (*self.tried, instance.instance)
-        request.attempt = self.sends
+        request.attempt = len(self.tried)
         request.expected_instance = instance.instance
         request.deadline_left_ms = self.deadline.at_ms - self.sent_at_ms
         self.parts.router.sent(instance)
         self.arm_patience()
-        answered = functools.partial(self.attempt_answered, self.sends)
+        answered = functools.partial(self.attempt_answered, request.attempt)
         own = self.parts.directory.own
         if own is not None and own.instance == instance.instance:
             local = _ingress_call.IngressCall(self.parts, request, answered)
@@ -179,7 +172,7 @@
         The pool reports a call that was cancelled in a later turn, when the next
         attempt may be under way.
         """
-        if number == self.sends and self.cancel_attempt is not None:
+        if number == len(self.tried) and self.cancel_attempt is not None:
             self.answered(answer)
 
     def answered(self, answer: calls.CallAnswer) -> None:
@@ -206,7 +199,6 @@
             self.finish(report)
             return
         self.parts.metrics.count_retry(f"{step.value}_{answer.code.name.lower()}")
-        self.excluded |= {instance.instance}
         self.attempt()
 
     def tell_router(
@@ -237,22 +229,22 @@
         )
         self.parts.metrics.count_refusal(answer.code.value)
         self.log_end(answer, edge_reply.status, took_ms)
-        if self.sends:
+        if self.tried:
             failure = self.rate_failure(edge_reply.status, took_ms)
             self.throttle.record(failure, self.queue_delay_ms)
         reply(edge_reply)
 
     def rate_failure(self, status: int, took_ms: float) -> float:
         """Return 1 for a failure, a part of it for a late answer, else 0."""
-        if status >= _LOWEST_FAILURE_STATUS:
+        if status >= calls.LOWEST_FAILURE_STATUS:
             return 1.0
         return LATE_FAILURE * (took_ms > self.route.latency_objective_ms)
 
     def log_end(self, answer: calls.CallAnswer, status: int, took_ms: float) -> None:
         """Write what decided, unless all went well within the objective."""
         if (
-            status < _LOWEST_FAILURE_STATUS
-            and self.sends == 1
+            status < calls.LOWEST_FAILURE_STATUS
+            and len(self.tried) == 1
             and took_ms <= self.route.latency_objective_ms
         ):
             return
@@ -265,7 +257,7 @@
                 "service": self.service,
                 "code": answer.code.value,
                 "status": status,
-                "sends": self.sends,
+                "sends": len(self.tried),
                 "arrivals": self.attempts.arrivals,
                 "instances": self.tried,
                 "took_ms": round(took_ms, 1),
--- a/src/jujubetiller/mesh/_ingress_call.py
+++ b/src/jujubetiller/mesh/_ingress_call.py
@@ -18,8 +18,6 @@
 REFUSED_DELAY_MS = 100.0
 """The least delay that a refusal for load counts as."""
 
-_LOAD_CODES = frozenset((_Code.QUEUE_FULL, _Code.QUEUE_EVICTED, _Code.QUEUE_DEADLINE))
-
 
 class IngressCall:
     """Runs one call at the target and replies once."""
@@ -109,7 +107,7 @@
 
     def refuse(self, code: codes.ResultCode) -> None:
         """End the call, which the guard refused before it ran."""
-        if code in _LOAD_CODES:
+        if code in limits.LOAD_CODES:
             self.parts.delays.record(max(self.entry.wait_ms, REFUSED_DELAY_MS))
         self.answer_with(calls.make_refusal(code))
 
--- a/src/jujubetiller/retries/_success.py
+++ b/src/jujubetiller/retries/_success.py
@@ -2,7 +2,6 @@
 
 from jujubetiller import calls, codes
 
-_LOWEST_FAILURE_STATUS = 500
 _RETRY_STATUSES = frozenset({408, 425, 429})
 
 
@@ -13,6 +12,6 @@
     """
     return (
         answer.outcome is codes.Outcome.ANSWERED
-        and answer.status < _LOWEST_FAILURE_STATUS
+        and answer.status < calls.LOWEST_FAILURE_STATUS
         and answer.status not in _RETRY_STATUSES
     )
--- a/src/jujubetiller/routing/_answer_evidence.py
+++ b/src/jujubetiller/routing/_answer_evidence.py
@@ -41,8 +41,6 @@
     }
 )
 
-_LOWEST_FAILURE_STATUS = 500
-
 
 def is_refusal(answer: calls.CallAnswer) -> bool:
     """Return whether another instance might have done better.
@@ -51,7 +49,7 @@
     otherwise look quick and attract calls.
     """
     if answer.code is _Code.ANSWERED:
-        return answer.status >= _LOWEST_FAILURE_STATUS
+        return answer.status >= calls.LOWEST_FAILURE_STATUS
     return answer.code in _BLAMING_CODES
 
 
