--- a/src/jujubetiller/frames/_choice.py
+++ b/src/jujubetiller/frames/_choice.py
@@ -8,8 +8,6 @@
 class Choice(_rule.Rule):
     """One of the whole numbers in ``members``."""
 
-    TYPES = (int,)
-
     def __init__(self, members: Collection[int]) -> None:
         self.members = frozenset(members)
         self.allowed = f"one of {', '.join(map(str, sorted(self.members)))}"
--- a/src/jujubetiller/frames/_flag.py
+++ b/src/jujubetiller/frames/_flag.py
@@ -6,7 +6,6 @@
 class Flag(_rule.Rule):
     """True or false."""
 
-    TYPES = (bool,)
     allowed = "true and false"
 
     def allows(self, value: object) -> bool:
--- a/src/jujubetiller/frames/_hop_rows.py
+++ b/src/jujubetiller/frames/_hop_rows.py
@@ -49,8 +49,6 @@
 class HopRows(_rule.Rule):
     """An array of hop records, each a flat array."""
 
-    TYPES = (list,)
-
     def __init__(self, max_rows: int) -> None:
         self.max_rows = max_rows
         self.allowed = (
--- a/src/jujubetiller/frames/_number.py
+++ b/src/jujubetiller/frames/_number.py
@@ -1,11 +1,16 @@
 """A field for numbers."""
 
+from typing import ClassVar
+
 from jujubetiller.frames import _rule
 
 
 class Number(_rule.Rule):
     """Numbers from ``lowest`` to ``highest``, of the types of the subclass."""
 
+    TYPES: ClassVar[tuple[type, ...]]
+    """The exact types of allowed values; a bool is not an int here."""
+
     NOUN = "numbers"
 
     def __init__(self, lowest: float, highest: float) -> None:
--- a/src/jujubetiller/frames/_optional_whole_number.py
+++ b/src/jujubetiller/frames/_optional_whole_number.py
@@ -6,8 +6,6 @@
 class OptionalWholeNumber(_rule.Rule):
     """Whole numbers from ``lowest`` to ``highest``, or nil."""
 
-    TYPES = (type(None), int)
-
     def __init__(self, lowest: int, highest: int) -> None:
         self.number = _whole_number.WholeNumber(lowest, highest)
         self.allowed = f"nil and {self.number.allowed}"
--- a/src/jujubetiller/frames/_rule.py
+++ b/src/jujubetiller/frames/_rule.py
@@ -1,15 +1,11 @@
 """What a field of a frame may hold."""
 
 import abc
-from typing import ClassVar
 
 
 class Rule(abc.ABC):
     """The values that are allowed in one field."""
 
-    TYPES: ClassVar[tuple[type, ...]]
-    """The exact types of allowed values; a bool is not an int here."""
-
     allowed: str
     """The allowed values in words, for the message of a problem."""
 
--- a/src/jujubetiller/frames/_sized.py
+++ b/src/jujubetiller/frames/_sized.py
@@ -1,11 +1,16 @@
 """A field for text or bytes."""
 
+from typing import ClassVar
+
 from jujubetiller.frames import _rule
 
 
 class Sized(_rule.Rule):
     """Text or bytes of a length up to ``max_length``."""
 
+    TYPES: ClassVar[tuple[type, ...]]
+    """The exact types of allowed values; a bool is not an int here."""
+
     NOUN = ""
 
     def __init__(self, max_length: int) -> None:
--- a/src/jujubetiller/frames/_text_pairs.py
+++ b/src/jujubetiller/frames/_text_pairs.py
@@ -8,8 +8,6 @@
 class TextPairs(_rule.Rule):
     """A flat array of text: name, value, name, value."""
 
-    TYPES = (list,)
-
     def __init__(self, max_pairs: int) -> None:
         self.max_items = 2 * max_pairs
         self.allowed = f"an array of at most {max_pairs} pairs of text"
