--- a/src/jujubetiller/mesh/_instance_directory.py
+++ b/src/jujubetiller/mesh/_instance_directory.py
@@ -71,7 +71,7 @@
                 self._take_item(name, item)
                 changed = True
         if changed:
-            self.apply_removals()
+            self._carry_out_removals()
             self.follow()
 
     def set_own_address(self, address: settings.Address) -> None:
@@ -81,13 +81,18 @@
 
     def apply_removals(self) -> None:
         """Carry out the removals that waited, once the store has settled."""
+        if self._carry_out_removals():
+            self.follow()
+
+    def _carry_out_removals(self) -> bool:
+        """Return whether there were removals that can be believed."""
         if not self.removals or not self.is_settled():
-            return
+            return False
         for name in self.removals:
             self._forget(name)
             _LOG.info("instance removed", extra={"instance": name})
         self.removals = {}
-        self.follow()
+        return True
 
     def _forget(self, name: str) -> None:
         listed = self.listed.pop(name, None)
@@ -137,15 +142,15 @@
             )
         self.listed[name] = _Listed(decoded.ok_value, item.revision)
 
-    def _find_replaced(self) -> None:
+    def _find_replaced(self, usable: list[_Listed]) -> None:
         """Note which of the instances at one address is the last to have come."""
         newest: dict[settings.Address, _Listed] = {}
-        for listed in self.usable():
+        for listed in usable:
             address = listed.instance.address
             other = newest.get(address)
             if other is None or _came_later(listed, other):
                 newest[address] = listed
-        for listed in self.usable():
+        for listed in usable:
             listed.is_replaced = newest[listed.instance.address] is not listed
 
     def usable(self) -> list[_Listed]:
@@ -158,14 +163,15 @@
 
     def follow(self) -> None:
         """Bring what is derived from the list up to date."""
-        self._find_replaced()
+        usable = self.usable()
+        self._find_replaced(usable)
         self.own = None
-        for listed in self.usable():
+        for listed in usable:
             if listed.instance.address == self.own_address and not listed.is_replaced:
                 self.own = listed.instance
-        self.service_count = len({each.instance.service for each in self.usable()})
+        self.service_count = len({listed.instance.service for listed in usable})
         self.router.update_instances(
-            make_routable(listed, self.peer_port) for listed in self.usable()
+            make_routable(listed, self.peer_port) for listed in usable
         )
 
 
