--- a/src/jujubetiller/command/_check_settings.py
+++ b/src/jujubetiller/command/_check_settings.py
@@ -1,7 +1,5 @@
 """The ``check-settings`` command."""
 
-import importlib
-
 import result
 
 from jujubetiller.command import _output, _settings_file
@@ -29,11 +27,7 @@
 
 
 def _check_platform_settings(file: str) -> int:
-    content = _output.read_file(file)
-    if isinstance(content, result.Err):
-        return _output.report(content.err_value)
-    platform = importlib.import_module("jujubetiller.platform")
-    loaded = platform.load_settings(content.ok_value)
+    loaded = _settings_file.load_platform_settings_file(file)
     if isinstance(loaded, result.Err):
         return _output.report(loaded.err_value)
     mesh_settings = loaded.ok_value
--- a/src/jujubetiller/command/_mesh.py
+++ b/src/jujubetiller/command/_mesh.py
@@ -7,7 +7,7 @@
 import result
 
 from jujubetiller import codes
-from jujubetiller.command import _output
+from jujubetiller.command import _output, _settings_file
 
 
 def mesh(*, settings: str = "") -> int:
@@ -24,10 +24,7 @@
         return _output.report(
             codes.Problem(codes.ResultCode.BAD_COMMAND, "settings", message)
         )
-    content = _output.read_file(name)
-    if isinstance(content, result.Err):
-        return _output.report(content.err_value)
-    loaded = platform.load_settings(content.ok_value)
+    loaded = _settings_file.load_platform_settings_file(name)
     if isinstance(loaded, result.Err):
         return _output.report(loaded.err_value)
     module = importlib.import_module("jujubetiller.mesh")
