--- a/src/jujubetiller/codes/_bad_input_rows.py
+++ b/src/jujubetiller/codes/_bad_input_rows.py
@@ -1,11 +1,11 @@
 """The result codes of bad input, which never ran."""
 
-from jujubetiller.codes import _outcome, _result_code
+from jujubetiller.codes import _code_entry, _outcome, _result_code
 
 _NOT_RUN = _outcome.Outcome.NOT_RUN
 _Code = _result_code.ResultCode
 
-ROWS: tuple[tuple[_result_code.ResultCode, _outcome.Outcome, int, bool, str], ...] = (
+ROWS: tuple[_code_entry.CodeRow, ...] = (
     (_Code.BAD_SETTINGS, _NOT_RUN, 400, False, "The settings are not valid."),
     (_Code.BAD_TICKET, _NOT_RUN, 400, False, "The change ticket is not valid."),
     (_Code.BAD_REQUEST, _NOT_RUN, 400, False, "The HTTP request is not valid."),
--- a/src/jujubetiller/codes/_code_entry.py
+++ b/src/jujubetiller/codes/_code_entry.py
@@ -4,6 +4,9 @@
 
 from jujubetiller.codes import _outcome, _result_code
 
+CodeRow = tuple[_result_code.ResultCode, _outcome.Outcome, int, bool, str]
+"""The fields of a ``CodeEntry`` in their order."""
+
 
 @attrs.frozen
 class CodeEntry:
--- a/src/jujubetiller/codes/_code_table.py
+++ b/src/jujubetiller/codes/_code_table.py
@@ -7,7 +7,7 @@
 _UNKNOWN = _outcome.Outcome.UNKNOWN
 _Code = _result_code.ResultCode
 
-_ROWS: tuple[tuple[_result_code.ResultCode, _outcome.Outcome, int, bool, str], ...] = (
+_ROWS: tuple[_code_entry.CodeRow, ...] = (
     (_Code.ANSWERED, _ANSWERED, 0, False, "The target answered."),
     (_Code.QUEUE_FULL, _NOT_RUN, 503, True, "The instance's queue was full."),
     (
--- a/src/jujubetiller/streams/_peer_slot.py
+++ b/src/jujubetiller/streams/_peer_slot.py
@@ -10,6 +10,8 @@
     _stream_context,
 )
 
+FORGET_FAILED_AFTER_MS = 60_000.0
+
 
 class PeerSlot:
     """Keeps one stream to an address and replaces it when it is suspect."""
@@ -143,6 +145,10 @@
         """Return whether nothing is open, being opened or waiting."""
         return self.current is None and self.attempt is None and not self.retired
 
+    def may_be_forgotten(self, now_ms: float) -> bool:
+        """Return whether nothing is kept that a new slot would not know."""
+        return self.is_unused() and now_ms - self.retry_at_ms >= FORGET_FAILED_AFTER_MS
+
     def close(self) -> None:
         """Close the streams after their last answers; refuse what waits."""
         if self.attempt is not None:
--- a/src/jujubetiller/streams/_stream_pool.py
+++ b/src/jujubetiller/streams/_stream_pool.py
@@ -35,8 +35,6 @@
 IDENTITY_TICK_MS = 1_000.0
 """How late peers learn of a new key epoch."""
 
-_FORGET_FAILED_AFTER_MS = 60_000.0
-
 
 class StreamPool:
     """Sends calls to peers and takes calls from them.
@@ -297,9 +295,7 @@
     def _tick_streams(self, now_ms: float) -> None:
         for address, slot in list(self.slots.items()):
             slot.tick(now_ms)
-            if slot.is_unused() and (
-                now_ms - slot.retry_at_ms >= _FORGET_FAILED_AFTER_MS
-            ):
+            if slot.may_be_forgotten(now_ms):
                 del self.slots[address]
         for stream in list(self.listener.streams):
             stream.tick(now_ms)
--- a/tests/edge/test_any_bytes.py
+++ b/tests/edge/test_any_bytes.py
@@ -5,6 +5,7 @@
 import hypothesis.strategies as st
 
 from jujubetiller import edge
+from tests import pieces
 from tests.edge import recording
 
 METHODS = st.sampled_from(("GET", "POST", "PUT", "DELETE"))
@@ -45,21 +46,20 @@
 ) -> None:
     listener, connection = connect()
     data = b"".join(encode(*request) for request in requests)
-    edges = sorted({0, len(data), *(cut for cut in cuts if cut < len(data))})
-    for start, end in zip(edges, edges[1:], strict=False):
-        connection.receive(data[start:end])
+    for piece in pieces.cut(data, cuts):
+        connection.receive(piece)
     arrived = [(m.method, m.path, m.body) for m in listener.handler.messages]
     assert arrived == [request[:3] for request in requests]
 
 
 @hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
-@hypothesis.given(pieces=st.lists(st.binary(max_size=60), max_size=6))
+@hypothesis.given(junk=st.lists(st.binary(max_size=60), max_size=6))
 def test_bytes_after_a_request_cause_no_fault_and_no_second_answer(
-    pieces: list[bytes],
+    junk: list[bytes],
 ) -> None:
     listener, connection = connect()
     connection.request("/first")
-    for piece in pieces:
+    for piece in junk:
         connection.receive(piece)
     listener.handler.replies[0](edge.EdgeReply(200, [], b"done"))
     answers = connection.take()
--- a/tests/target/test_any_bytes.py
+++ b/tests/target/test_any_bytes.py
@@ -5,6 +5,7 @@
 import hypothesis.strategies as st
 
 from jujubetiller import codes
+from tests import pieces
 from tests.target import test_target_client
 
 _Code = codes.ResultCode
@@ -23,10 +24,9 @@
     connection = instance.accept()
     head = b"HTTP/1.1 200 OK\r\nX-Of: target\r\nContent-Length: %d\r\n\r\n"
     data = head % len(body) + body
-    edges = sorted({0, len(data), *(cut for cut in cuts if cut < len(data))})
-    for start, end in zip(edges, edges[1:], strict=False):
+    for piece in pieces.cut(data, cuts):
         assert not instance.ends
-        connection.dataReceived(data[start:end])
+        connection.dataReceived(piece)
     (response,) = instance.ends
     assert response.code is _Code.ANSWERED
     assert (response.headers, response.body) == ((("X-Of", "target"),), body)
