--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,11 @@
 PYTHON = $(VENV)/bin/python
 export PYTHONPATH = src:.
 
-.PHONY: environment check test demo bench plots binary format
+# The bench of the users and its site files: make score FLEETBENCH=path SITES=paths
+SITES ?=
+WHY ?=
+
+.PHONY: environment check test demo bench plots binary format score hunt
 
 environment: $(VENV)/.installed
 
@@ -35,3 +39,11 @@
 
 binary: environment
 	$(PYTHON) -m bench.binary
+
+score:
+	@test -n "$(FLEETBENCH)" || { echo "set FLEETBENCH to the users' bench"; exit 2; }
+	for site in $(SITES); do $(FLEETBENCH) score $$site --why "$(WHY)" || exit; done
+
+hunt:
+	@test -n "$(FLEETBENCH)" || { echo "set FLEETBENCH to the users' bench"; exit 2; }
+	for site in $(SITES); do $(FLEETBENCH) hunt $$site --why "$(WHY)" || exit; done
