Hold the weights of a service's instances for 10 ms

A node weighed every instance of a service for every call, with an exponential and a power each: with three instances 3 to 5% of what an entry node spends on a call (sampled on a local site). Weights change over seconds; they are now computed once for the calls of 10 ms, and again when an instance leaves or comes.

--- a/src/jujubetiller/routing/_relative_pool.py
+++ b/src/jujubetiller/routing/_relative_pool.py
@@ -1,5 +1,6 @@
 """The choice among instances by how slow they are for one kind of call."""
 
+import itertools
 import math
 import random
 
@@ -22,6 +23,9 @@
 
 _REFUSAL_COST = 10.0
 
+WEIGHTS_HOLD_MS = 10.0
+"""Weights hardly change faster, and a busy node draws several times in this time."""
+
 _FASTEST = 0.2
 _MOST_CANDIDATES = 12
 
@@ -42,6 +46,11 @@
     ) -> None:
         super().__init__(random_source, routing_settings, own_zone)
         self.times = _kind_times.KindTimes()
+        self.candidates: list[_Stats] = []
+        self.cumulative: list[float] = []
+        """Sums of the weights of the candidates up to each."""
+
+        self.weighed_until_ms = 0.0
 
     def record(
         self, stats: _Stats, refused: bool, took_ms: float, kind: str, now_ms: float
@@ -65,11 +74,30 @@
 
         Instances that were found unreachable are tried only if there is no other.
         """
+        if exclude:
+            return self._draw(*self._weigh(exclude, now_ms))
+        if now_ms >= self.weighed_until_ms:
+            self.candidates, self.cumulative = self._weigh(exclude, now_ms)
+            self.weighed_until_ms = now_ms + WEIGHTS_HOLD_MS
+        return self._draw(self.candidates, self.cumulative)
+
+    def sort_out(self) -> None:
+        """Rebuild the lists after a change of an instance's state."""
+        super().sort_out()
+        self.weighed_until_ms = 0.0
+
+    def _weigh(
+        self, exclude: frozenset[str], now_ms: float
+    ) -> tuple[list[_Stats], list[float]]:
+        """Return the instances that may get a call, and their cumulative weights."""
         candidates = self._candidates(exclude) or self.unreachable
+        weights = [self.weight(stats, now_ms) for stats in candidates]
+        return candidates, list(itertools.accumulate(weights))
+
+    def _draw(self, candidates: list[_Stats], cumulative: list[float]) -> _Stats | None:
         if len(candidates) < 2:
             return candidates[0] if candidates else None
-        weights = [self.weight(stats, now_ms) for stats in candidates]
-        return self.random_source.choices(candidates, weights)[0]
+        return self.random_source.choices(candidates, cum_weights=cumulative)[0]
 
     def weight(self, stats: _Stats, now_ms: float) -> float:
         """Return the share of the calls that the instance may get."""
--- a/tests/routing/test_relative_pool.py
+++ b/tests/routing/test_relative_pool.py
@@ -75,3 +75,31 @@
         shares.append(chosen.count("a-1") / 400)
         manual_clock.advance(1_000)
     assert shares[0] < 0.1 < shares[1] < 0.4 < shares[2] < 0.6
+
+
+def test_weights_are_computed_once_for_calls_that_come_together() -> None:
+    """Guards against a node that weighs all instances again for each call."""
+    manual_clock = clock.ManualClock()
+    router = test_router.make_router(
+        manual_clock, "a-1", "a-2", router_class=routing.RelativeRouter
+    )
+    pool = router.pools["ledger"]
+    assert isinstance(pool, routing.RelativePool)
+    router.choose("ledger")
+    weighed = pool.cumulative
+    manual_clock.advance(4)
+    router.choose("ledger")
+    assert pool.cumulative is weighed
+    manual_clock.advance(7)
+    router.choose("ledger")
+    assert pool.cumulative is not weighed
+
+
+def test_held_weights_do_not_outlive_an_instance() -> None:
+    manual_clock = clock.ManualClock()
+    router = test_router.make_router(
+        manual_clock, "a-1", "a-2", router_class=routing.RelativeRouter
+    )
+    router.mark_leaving(router.choose("ledger").unwrap())
+    chosen = {router.choose("ledger").unwrap().instance for _ in range(50)}
+    assert len(chosen) == 1
