Tell once a second in the logs that calls wait for the target

The new line showed the cause: the slots of the stockroom are held for 500 to 700 ms by lookups that wait for the fittings service, whose four instances have 15 to 85 calls in their queues even while nine of ten browsing requests are refused.

--- a/src/jujubetiller/limits/_target_guard.py
+++ b/src/jujubetiller/limits/_target_guard.py
@@ -18,6 +18,8 @@
 _State = _guard_entry.EntryState
 _Code = codes.ResultCode
 
+_RUN_WEIGHT = 0.05
+
 # Calls that the target itself shed or that came too late for any instance do not
 # show that this guard lacks room.
 LOAD_CODES = frozenset((_Code.QUEUE_FULL, _Code.QUEUE_EVICTED, _Code.QUEUE_DEADLINE))
@@ -50,6 +52,9 @@
         self.refusal_level = _refusal_level.RefusalLevel()
         self.sample = _latency_sample.LatencySample()
         self.queue_used_since_ms = 0.0
+        self.mean_run_ms = 0.0
+        """Moving average over calls of all kinds."""
+
         self.is_starting = False
 
     @property
@@ -95,6 +100,7 @@
         self.in_flight -= 1
         if succeeded:
             self.estimates.record(entry.kind, run_ms, now_ms)
+            self.mean_run_ms += _RUN_WEIGHT * (run_ms - self.mean_run_ms)
         self.policy.record(sample)
         self.limit = min(self.slots, self.policy.current_limit())
         if self.queue.length and not self.is_starting:
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -28,6 +28,7 @@
     _egress_site,
     _header_names,
     _instance_directory,
+    _load_log,
     _mesh_parts,
     _mesh_state,
     _peer_calls,
@@ -89,6 +90,7 @@
         self.exchange = _state_exchange.StateExchange(
             self.parts, self.state, self.settling, self.own_peer_address
         )
+        self.load_log = _load_log.LoadLog(self.parts)
         self.ports: dict[str, interfaces.IListeningPort] = {}
         self.edges: dict[str, edge.EdgeFactory] = {}
         self.draining: _drain.Drain | None = None
@@ -246,8 +248,9 @@
         )
 
     def keep_house(self) -> None:
-        """Carry out removals that waited for the store to settle."""
+        """Do what is due now and then."""
         self.parts.directory.apply_removals()
+        self.load_log.look()
         self.reactor.callLater(HOUSEKEEPING_MS / 1000.0, self.keep_house)
 
     def reload(self, node_settings: settings.MeshSettings) -> None:
--- a/tests/mesh/test_ingress.py
+++ b/tests/mesh/test_ingress.py
@@ -1,5 +1,6 @@
 """Guards against answers of the target that are taken for what they are not."""
 
+import logbook
 import pytest
 
 from jujubetiller import codes, target
@@ -53,6 +54,20 @@
     assert len(node.target.requests) == slots + 1
 
 
+def test_a_full_target_is_told_of_in_the_logs() -> None:
+    """Guards against a slow request whose cause, a full target, no line names."""
+    node = local_mesh.LocalMesh()
+    node.reactor.advance(1.1)
+    with logbook.TestHandler() as handler:
+        for _ in range(40):
+            node.receive()
+        node.node.load_log.look()
+        lines = [record for record in handler.records if "wait" in record.message]
+    limit = node.parts.guard.limit
+    assert lines[0].extra["in_flight"] == limit
+    assert lines[0].extra["queue_length"] == 40 - limit
+
+
 def test_a_cancelled_call_is_cancelled_at_the_target() -> None:
     node = local_mesh.LocalMesh()
     node.receive()()
