--- a/tests/command/test_platform_settings.py
+++ b/tests/command/test_platform_settings.py
@@ -1,6 +1,10 @@
 """Guards against platform settings that a check accepts and a node refuses."""
 
+import os
 import pathlib
+import signal
+import subprocess
+import sys
 
 import pytest
 
@@ -32,3 +36,29 @@
     monkeypatch.delenv("JUJUBETILLER_CONFIG", raising=False)
     assert command.run(["mesh"]) == 2
     assert "[411 BAD_COMMAND] settings:" in capsys.readouterr().err
+
+
+def test_a_signal_during_the_start_does_not_end_the_node(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a node that a change of its settings file kills while it starts.
+
+    Seed 4 of the soak: a node that had just been started ended with SIGHUP.
+    """
+    settings = tmp_path / "node.toml"
+    os.mkfifo(settings)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "jujubetiller", "mesh"],
+        env={
+            **os.environ,
+            "JUJUBETILLER_CONFIG": str(settings),
+            "PYTHONPATH": os.pathsep.join(sys.path) or ".",
+        },
+        stderr=subprocess.DEVNULL,
+        stdout=subprocess.DEVNULL,
+    )
+    # Opening waits until the process reads its settings.
+    with settings.open("wb") as pipe:
+        process.send_signal(signal.SIGHUP)
+        pipe.write(b"no settings")
+    assert process.wait(20) == 1
