Add a fault soak of real processes

Nodes, the store and the instances run as separate processes; a proxy stands between any two of them and can delay, hold, silence and reset what passes. Kills, planned stops, freezes, changed settings, configurations, draining instances, lost answers and an unreachable store come in random series that overlap. The checks use only what clients and instances saw.

--- /dev/null
+++ b/soak/_context.py
@@ -0,0 +1,58 @@
+"""What the faults of one run share."""
+
+import random
+from typing import Any
+
+import attrs
+from twisted.internet import defer, task
+
+from soak import _site
+
+
+@attrs.define(eq=False)
+class Context:
+    """The site, the random source and what was found to be wrong so far."""
+
+    reactor: Any
+    site: _site.SoakSite
+    source: random.Random
+
+    in_work: set[str] = attrs.field(factory=set)
+    """Nodes whose process a fault stops and starts at the moment."""
+
+    frozen: set[str] = attrs.field(factory=set)
+    violations: list[str] = attrs.field(factory=list)
+    events: list[str] = attrs.field(factory=list)
+    published_at_s: dict[int, float] = attrs.field(factory=dict)
+
+    started_at_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
+    """When each process of each node was started."""
+
+    is_disturbed: bool = False
+    """Whether anything but planned work has happened."""
+
+    def sleep(self, seconds: float) -> "defer.Deferred[None]":
+        """Wait."""
+        waited: defer.Deferred[None] = task.deferLater(self.reactor, seconds)
+        return waited
+
+    def note(self, event: str) -> None:
+        """Keep what happened, with its time."""
+        self.events.append(f"{self.reactor.seconds():.3f} {event}")
+
+    def start_node(self, node: _site.Node) -> None:
+        """Start the process of a node."""
+        self.site.start_node(node)
+        self.started_at_s[(node.name, node.lifetime)] = self.reactor.seconds()
+
+    def publish(self) -> None:
+        """Publish the next configuration."""
+        version = self.site.version + 1
+        self.site.publish(version)
+        self.published_at_s[version] = self.reactor.seconds()
+        self.note(f"configuration {version}")
+
+    def pick_node(self) -> _site.Node:
+        """Return a node whose process no other fault stops or starts."""
+        free = [n for n in self.site.nodes.values() if n.name not in self.in_work]
+        return self.source.choice(free or list(self.site.nodes.values()))
--- /dev/null
+++ b/soak/_run.py
@@ -0,0 +1,164 @@
+"""One run of the soak."""
+
+import pathlib
+import random
+from typing import Any
+
+import attrs
+from twisted.internet import defer
+
+from soak import _context, _faults, _promises, _site, _traffic
+from standins import client, mesh_site
+
+CLIENTS = 12
+PAUSES_S = (0.05, 0.8)
+"""The shortest and the longest pause between the starts of two faults."""
+
+PLANNED_ONLY_EACH = 3
+"""Each third seed plays planned work alone, which must cut off nothing."""
+
+READY_S = 20.0
+WATCH_S = 0.1
+UNPLANNED_SHARE = 0.7
+
+
+@attrs.frozen
+class Outcome:
+    """What a run found."""
+
+    seed: int
+    is_planned_only: bool
+    requests: int
+    served: int
+    recovery_s: float | None
+    violations: tuple[str, ...]
+    events: tuple[str, ...]
+
+
+async def run(reactor: Any, seed: int, seconds: float, folder: pathlib.Path) -> Outcome:
+    """Play the faults of ``seed`` for ``seconds`` and check the promises."""
+    source = random.Random(seed)
+    site = _site.SoakSite(reactor, folder, mesh_site.find_port_base())
+    context = _context.Context(reactor, site, source)
+    # A soak that is stopped must not leave its processes behind.
+    trigger = reactor.addSystemEventTrigger("before", "shutdown", site.close)
+    try:
+        return await _play(context, seed, seconds)
+    finally:
+        for port in site.ports:
+            port.stopListening()
+        site.close()
+        reactor.removeSystemEventTrigger(trigger)
+
+
+async def _play(context: _context.Context, seed: int, seconds: float) -> Outcome:
+    site = context.site
+    is_planned_only = seed % PLANNED_ONLY_EACH == 0
+    site.open_links()
+    site.publish(_site.FIRST_VERSION)
+    for node in site.nodes.values():
+        site.list_instance(node)
+        context.start_node(node)
+    traffic = _traffic.Traffic(context.reactor, site, random.Random(seed), CLIENTS)
+    await _wait_ready(context, traffic)
+    stopped = traffic.start()
+    watching = defer.ensureDeferred(_watch_processes(context, traffic))
+    await _play_faults(context, seconds, is_planned_only)
+    ended_at_s = context.reactor.seconds()
+    recovery_s = await _wait_recovery(context, traffic, ended_at_s)
+    traffic.is_stopped = True
+    await stopped
+    await watching
+    violations = context.violations + _check(context, traffic, is_planned_only)
+    if recovery_s is None:
+        violations.append(f"no recovery within {_promises.RECOVERY_S} s")
+    return Outcome(
+        seed=seed,
+        is_planned_only=is_planned_only,
+        requests=len(traffic.attempts),
+        served=sum(attempt.status == 200 for attempt in traffic.attempts),
+        recovery_s=recovery_s,
+        violations=tuple(violations),
+        events=tuple(context.events),
+    )
+
+
+async def _wait_ready(context: _context.Context, traffic: _traffic.Traffic) -> None:
+    """Wait until each node serves a request."""
+    until_s = context.reactor.seconds() + READY_S
+    waiting = list(context.site.nodes)
+    sender = client.Client(context.reactor, connections=1)
+    while waiting and context.reactor.seconds() < until_s:
+        number = len(traffic.attempts)
+        attempt = await traffic.send(sender, waiting[-1], f"ready-{number}")
+        if attempt.status == 200:
+            waiting.pop()
+        else:
+            await context.sleep(WATCH_S)
+    if waiting:
+        context.violations.append(f"never ready: {', '.join(waiting)}")
+
+
+async def _play_faults(
+    context: _context.Context, seconds: float, is_planned_only: bool
+) -> None:
+    under_way: list[defer.Deferred[None]] = []
+    until_s = context.reactor.seconds() + seconds
+    context.is_disturbed = not is_planned_only
+    while context.reactor.seconds() < until_s:
+        is_planned = is_planned_only or context.source.random() > UNPLANNED_SHARE
+        table = _faults.PLANNED if is_planned else _faults.UNPLANNED
+        fault = context.source.choice(table)
+        under_way.append(defer.ensureDeferred(_play_fault(context, fault)))
+        await context.sleep(context.source.uniform(*PAUSES_S))
+    await defer.gatherResults(under_way, consumeErrors=True)
+
+
+async def _play_fault(context: _context.Context, fault: _faults.Fault) -> None:
+    await fault.play(context)
+
+
+async def _watch_processes(
+    context: _context.Context, traffic: _traffic.Traffic
+) -> None:
+    """Report nodes that end by themselves, and start them again."""
+    while not traffic.is_stopped:
+        for node in context.site.nodes.values():
+            if node.name in context.in_work or node.process is None:
+                continue
+            code = node.process.poll()
+            if code is not None:
+                context.violations.append(f"{node.name} ended by itself with {code}")
+                context.start_node(node)
+        await context.sleep(WATCH_S)
+
+
+async def _wait_recovery(
+    context: _context.Context, traffic: _traffic.Traffic, ended_at_s: float
+) -> float | None:
+    """Return how long it took until nearly all requests are served again."""
+    until_s = ended_at_s + _promises.RECOVERY_S + _traffic.DEADLINE_MS / 1_000
+    while context.reactor.seconds() < until_s:
+        await context.sleep(1.0)
+        # A second is judged when its requests have ended.
+        now_s = context.reactor.seconds() - _traffic.DEADLINE_MS / 1_000
+        settled = [a for a in traffic.attempts if a.sent_at_s < now_s]
+        recovery_s = _promises.find_recovery_s(settled, ended_at_s)
+        if recovery_s is not None and recovery_s <= _promises.RECOVERY_S:
+            return recovery_s
+    return None
+
+
+def _check(
+    context: _context.Context, traffic: _traffic.Traffic, is_planned_only: bool
+) -> list[str]:
+    attempts = traffic.attempts
+    runs = context.site.tell("runs")
+    found = _promises.check_runs(attempts, runs)
+    found += _promises.check_versions(attempts)
+    if is_planned_only:
+        found += _promises.check_planned_work(attempts, runs)
+        found += _promises.check_in_force(
+            attempts, context.published_at_s, context.started_at_s
+        )
+    return found
--- /dev/null
+++ b/soak/_seeds.py
@@ -0,0 +1,6 @@
+"""Seeds that failed once, each with its cause."""
+
+FAILED_SEEDS = (
+    4,  # SIGHUP ended a node that was still starting
+    9,  # the same, while planned work alone was played
+)
--- a/standins/mesh_site/__init__.py
+++ b/standins/mesh_site/__init__.py
@@ -1,7 +1,7 @@
 """The store and the instances around mesh nodes, in one process."""
 
 from standins.mesh_site._instance_site import InstanceSite
-from standins.mesh_site._local_mesh_site import HOSTS, LocalMeshSite
+from standins.mesh_site._local_mesh_site import HOSTS, LocalMeshSite, find_port_base
 from standins.mesh_site._mesh_process import MeshProcess
 from standins.mesh_site._operator_site import OperatorSite
 from standins.mesh_site._store_site import StoreSite
@@ -13,4 +13,5 @@
     "MeshProcess",
     "OperatorSite",
     "StoreSite",
+    "find_port_base",
 ]
--- a/standins/mesh_site/_operator_site.py
+++ b/standins/mesh_site/_operator_site.py
@@ -11,7 +11,7 @@
 class OperatorSite(_stand_in_site.StandInSite):
     """Takes JSON commands by path: ``/put``, ``/remove``, ``/down``, ``/fault``.
 
-    ``/runs`` returns how often each request ran.
+    ``/runs`` returns how often each request ran, ``/load`` how many ran where.
     """
 
     def __init__(
@@ -27,6 +27,7 @@
             "/down": self.set_down,
             "/fault": self.set_fault,
             "/runs": self.list_runs,
+            "/load": self.count_runs,
         }
 
     def handle(
@@ -63,6 +64,10 @@
         """Let an instance fail in a way."""
         self.instances[document["instance"]].fault = document["fault"]
 
+    def count_runs(self, document: Any) -> dict[str, int]:
+        """Return the runs of each instance."""
+        return {name: site.runs.total() for name, site in self.instances.items()}
+
     def list_runs(self, document: Any) -> dict[str, int]:
         """Return the runs of each request."""
         runs: dict[str, int] = {}
