--- a/src/jujubetiller/command/_dispatch.py
+++ b/src/jujubetiller/command/_dispatch.py
@@ -2,6 +2,8 @@
 
 import importlib
 import signal
+import sys
+import types
 from collections.abc import Sequence
 
 MESH_COMMAND = "mesh"
@@ -13,12 +15,25 @@
     The status is 0, 1 for a check that failed, or 2 for a wrong command line.
     """
     if MESH_COMMAND in arguments[:1]:
-        # The platform sends SIGHUP at any time. Until the node follows its settings
-        # file, the signal would end the process.
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        _prepare_signals()
     if list(arguments) == [MESH_COMMAND]:
         # The parser of command lines takes 10 MB, a quarter of a node's memory.
         mesh = importlib.import_module("jujubetiller.command._mesh")
         return int(mesh.mesh())
     runner = importlib.import_module("jujubetiller.command._run")
     return int(runner.run(arguments))
+
+
+def _prepare_signals() -> None:
+    """Bear the platform's signals until the running node handles them itself.
+
+    With the default actions, a change of the settings file would end a node that
+    starts, and a planned stop would look like a failure.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, _end_before_start)
+
+
+def _end_before_start(number: int, frame: types.FrameType | None) -> None:
+    """End the process in order: it has not taken a request yet."""
+    sys.exit(0)
--- a/tests/command/test_platform_settings.py
+++ b/tests/command/test_platform_settings.py
@@ -38,12 +38,17 @@
     assert "[411 BAD_COMMAND] settings:" in capsys.readouterr().err
 
 
-def test_a_signal_during_the_start_does_not_end_the_node(
-    tmp_path: pathlib.Path,
+@pytest.mark.parametrize(
+    ("number", "content", "status"),
+    [(signal.SIGHUP, b"no settings", 1), (signal.SIGTERM, b"", 0)],
+)
+def test_a_signal_during_the_start_is_no_failure(
+    tmp_path: pathlib.Path, number: signal.Signals, content: bytes, status: int
 ) -> None:
-    """Guards against a node that a change of its settings file kills while it starts.
+    """Guards against a node that a change of its settings file kills while it starts,
+    and against a planned stop that looks like a failure.
 
-    Seed 4 of the soak: a node that had just been started ended with SIGHUP.
+    Seeds 4 and 16 of the soak: nodes that had just been started ended by the signal.
     """
     settings = tmp_path / "node.toml"
     os.mkfifo(settings)
@@ -58,7 +63,8 @@
         stdout=subprocess.DEVNULL,
     )
     # Opening waits until the process reads its settings.
-    with settings.open("wb") as pipe:
-        process.send_signal(signal.SIGHUP)
-        pipe.write(b"no settings")
-    assert process.wait(20) == 1
+    with settings.open("wb", buffering=0) as pipe:
+        process.send_signal(number)
+        if content:
+            pipe.write(content)
+    assert process.wait(20) == status
