--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,14 @@
 SITES ?=
 WHY ?=
 
-.PHONY: environment check test demo bench plots binary format score hunt
+# Seeds of the soak: make soak SOAK_FIRST=1 SOAK_COUNT=50
+SOAK_FIRST ?= 1
+SOAK_COUNT ?= 3
+
+# What a soak printed, for the report: make report SOAK=path
+SOAK ?=
+
+.PHONY: environment check test demo bench plots binary format score hunt soak report
 
 environment: $(VENV)/.installed
 
@@ -38,6 +45,12 @@
 plots: environment
 	$(PYTHON) -m bench.plots
 
+soak: environment
+	$(PYTHON) -m soak --first $(SOAK_FIRST) --count $(SOAK_COUNT)
+
+report: environment
+	$(PYTHON) -m bench.report $(if $(SOAK),--soak $(SOAK))
+
 binary: environment
 	$(PYTHON) -m bench.binary
 
