Show a broken promise in the exit status of the soak

The exit of Twisted's react hid the count of seeds that failed, so the status was always 0; the test fails before. Faults are plain functions in two tables now: their names and flags were read by nothing.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,7 +2,6 @@
 
 import json
 import pathlib
-import sys
 import tempfile
 from typing import Any
 
@@ -15,24 +14,24 @@
 
 def main(
     *, first: int = 1, count: int = 3, seconds: float = 8.0, keep: str = ""
-) -> int:
+) -> None:
     """Play faults on local processes and check what clients and instances see.
 
+    The exit status is 1 if a promise was broken.
+
     :param first: the first seed; 0 stands for the seeds that ever failed
     :param count: how many seeds in a row
     :param seconds: how long the faults of one seed are played
     :param keep: a folder that gets the nodes' logs of each seed that failed
     """
     seeds = range(first, first + count) if first else _seeds.FAILED_SEEDS
-    broken = 0
 
     async def play_all(reactor: Any) -> None:
-        nonlocal broken
-        for seed in seeds:
-            broken += bool((await _play_one(reactor, seed, seconds, keep)).violations)
+        outcomes = [await _play_one(reactor, seed, seconds, keep) for seed in seeds]
+        if any(outcome.violations for outcome in outcomes):
+            raise SystemExit(1)
 
     task.react(lambda reactor: defer.ensureDeferred(play_all(reactor)))
-    return broken
 
 
 async def _play_one(reactor: Any, seed: int, seconds: float, keep: str) -> _run.Outcome:
@@ -62,4 +61,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(bool(defopt.run(main)))
+    defopt.run(main)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -1,9 +1,8 @@
 """What can happen to the processes and the links between them."""
 
 import signal
-from collections.abc import Awaitable, Callable
-
-import attrs
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from soak import _context, _link, _site
 
@@ -18,16 +17,8 @@
 
 DELAYS_S = (0.02, 0.1, 0.3)
 
-Play = Callable[[_context.Context], Awaitable[None]]
-
-
-@attrs.frozen
-class Fault:
-    """One kind of fault or of planned work."""
-
-    name: str
-    play: Play
-    is_planned: bool = False
+Fault = Callable[[_context.Context], Coroutine[Any, Any, None]]
+"""Plays one fault, or one piece of planned work, to its end."""
 
 
 async def kill_node(context: _context.Context) -> None:
@@ -192,20 +183,20 @@
     return node.links[name]
 
 
-PLANNED = (
-    Fault("stop", stop_node, is_planned=True),
-    Fault("configuration", change_configuration, is_planned=True),
-    Fault("settings", change_settings, is_planned=True),
-    Fault("drain", drain_instance, is_planned=True),
+PLANNED: tuple[Fault, ...] = (
+    stop_node,
+    change_configuration,
+    change_settings,
+    drain_instance,
 )
 
-UNPLANNED = (
-    Fault("kill", kill_node),
-    Fault("freeze", freeze_node),
-    Fault("store", stop_store),
-    Fault("instance", fail_instance),
-    Fault("delay", delay_link),
-    Fault("reset", reset_link),
-    Fault("silence", silence_link),
-    Fault("cut", cut_link),
+UNPLANNED: tuple[Fault, ...] = (
+    kill_node,
+    freeze_node,
+    stop_store,
+    fail_instance,
+    delay_link,
+    reset_link,
+    silence_link,
+    cut_link,
 )
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -109,15 +109,11 @@
         is_planned = is_planned_only or context.source.random() > UNPLANNED_SHARE
         table = _faults.PLANNED if is_planned else _faults.UNPLANNED
         fault = context.source.choice(table)
-        under_way.append(defer.ensureDeferred(_play_fault(context, fault)))
+        under_way.append(defer.ensureDeferred(fault(context)))
         await context.sleep(context.source.uniform(*PAUSES_S))
     await defer.gatherResults(under_way, consumeErrors=True)
 
 
-async def _play_fault(context: _context.Context, fault: _faults.Fault) -> None:
-    await fault.play(context)
-
-
 async def _watch_processes(
     context: _context.Context, traffic: _traffic.Traffic
 ) -> None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -22,3 +22,20 @@
     assert [outcome["seed"] for outcome in outcomes] == list(_seeds.FAILED_SEEDS)
     assert [outcome["violations"] for outcome in outcomes] == [[]] * len(outcomes)
     assert all(outcome["served"] > 100 for outcome in outcomes)
+
+
+def test_a_broken_promise_shows_in_the_exit_status() -> None:
+    """Guards against a soak that a script takes for passed."""
+    script = (
+        "from soak import __main__, _promises\n"
+        "_promises.check_runs = lambda attempts, runs: ['ran twice']\n"
+        "__main__.main(first=3, count=1, seconds=0.5)\n"
+    )
+    finished = subprocess.run(
+        [sys.executable, "-c", script],
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+    )
+    assert finished.returncode == 1, finished.stderr
+    assert json.loads(finished.stdout)["violations"] == ["ran twice"]
