--- /dev/null
+++ b/standins/fleet/_process.py
@@ -0,0 +1,58 @@
+"""The reactor of a process in memory."""
+
+from typing import TYPE_CHECKING, Any
+
+import zope.interface
+from twisted.internet import error, interfaces, task
+
+from standins.fleet import _connector, _port, _resolver
+
+if TYPE_CHECKING:
+    from standins.fleet import network as fleet_network
+
+
+@zope.interface.implementer(interfaces.IReactorPluggableNameResolver)
+class Process(task.Clock):
+    """The reactor of one process; it can be frozen and killed.
+
+    A frozen process keeps its timers and unread bytes. Its clock jumps when it
+    wakes, as that of a stopped process does.
+    """
+
+    nameResolver = _resolver.Resolver()
+
+    def __init__(self, network: "fleet_network.Network", name: str, zone: str) -> None:
+        super().__init__()
+        self.network = network
+        self.name = name
+        self.zone = zone
+        self.is_frozen = False
+        self.is_dead = False
+        self.behind_s = 0.0
+
+    def pass_time(self, duration_s: float) -> None:
+        """Advance; unlike ``advance`` it does nothing more when no timer is due."""
+        if self.calls and self.calls[0].getTime() <= self.rightNow + duration_s:
+            self.advance(duration_s)
+        else:
+            self.rightNow += duration_s
+
+    def installNameResolver(self, resolver: Any) -> Any:
+        """Keep the resolver for IP numbers."""
+        return self.nameResolver
+
+    def listenTCP(
+        self, port: int, factory: Any, backlog: int = 50, interface: str = ""
+    ) -> _port.Port:
+        """Take connections."""
+        return self.network.listen(self, port, factory)
+
+    def connectTCP(
+        self, host: str, port: int, factory: Any, timeout: float = 30, **rest: Any
+    ) -> _connector.Connector:
+        """Connect in a later turn."""
+        connector = _connector.Connector(self, port, factory)
+        factory.startedConnecting(connector)
+        connector.timer = self.callLater(timeout, connector.fail, error.TimeoutError())
+        self.network.connecting.append(connector)
+        return connector
--- a/standins/fleet/local_fleet.py
+++ b/standins/fleet/local_fleet.py
@@ -13,7 +13,7 @@
 
 from jujubetiller import codes, node, records, schema, settings
 from standins import client, headers, site, target
-from standins.fleet import network
+from standins.fleet import _port, _process, _process_clock, network
 from standins.load import _client_request, _kind_counters, _load_plan
 from standins.platform import Faults, ReadRate, ValueSite, ValueStore
 
@@ -162,7 +162,7 @@
         self.requests: list[ExplainedRequest] = []
         platform = self.network.start("platform", "platform")
         self.store = ValueStore()
-        clock = network.ProcessClock(platform)
+        clock = _process_clock.ProcessClock(platform)
         self.values = ValueSite(self.store, ReadRate(clock, 2_000), platform)
         self.platform_port = platform.listenTCP(
             0, server.Site(self.values, reactor=platform)
@@ -199,7 +199,7 @@
         """Start the node of an instance; an earlier one must have ended."""
         service, zone = INSTANCES[instance]
         self.starts[instance] += 1
-        any_port = {"host": network.HOST, "port": 0}
+        any_port = {"host": _port.HOST, "port": 0}
         document = {
             "instance": instance,
             "service": service,
@@ -219,7 +219,7 @@
         loaded = settings.load_settings(json.dumps(document))
         assert isinstance(loaded, result.Ok), loaded
         process = self.network.start(instance, zone)
-        clock = network.ProcessClock(process)
+        clock = _process_clock.ProcessClock(process)
         number = list(INSTANCES).index(instance) + 100 * self.starts[instance]
         generator = random.Random(self.seed * 10_000 + number)
         started = node.Node(process, clock, clock, generator, loaded.ok_value)
@@ -236,7 +236,7 @@
                     "instance": name,
                     "service": INSTANCES[name][0],
                     "zone": zone,
-                    "host": network.HOST,
+                    "host": _port.HOST,
                     "peer_port": self.nodes[name].bound_addresses()["peer"].port,
                     "state": state,
                 }
@@ -266,7 +266,7 @@
         records = one.exchange.table.instances()
         return sum(record.boot_id != "" for record in records)
 
-    def process(self, name: str) -> network.Process:
+    def process(self, name: str) -> _process.Process:
         """Return the process of a node, or of a target ``<instance>.target``."""
         return self.network.processes[name]
 
