End a starting node on SIGTERM without an exception

The exception that was to end it was raised in a finalizer, which ignores exceptions. The test plays that.

--- a/src/jujubetiller/command/_dispatch.py
+++ b/src/jujubetiller/command/_dispatch.py
@@ -1,8 +1,8 @@
 """The entry of the command line."""
 
 import importlib
+import os
 import signal
-import sys
 import types
 from collections.abc import Sequence
 
@@ -35,5 +35,8 @@
 
 
 def _end_before_start(number: int, frame: types.FrameType | None) -> None:
-    """End the process in order: it has not taken a request yet."""
-    sys.exit(0)
+    """End the process in order: it has not taken a request yet.
+
+    An exception could be lost in a finalizer, and the node would never end.
+    """
+    os._exit(0)
--- a/tests/command/test_platform_settings.py
+++ b/tests/command/test_platform_settings.py
@@ -68,3 +68,24 @@
         if content:
             pipe.write(content)
     assert process.wait(20) == status
+
+
+def test_a_stop_during_the_start_cannot_be_lost() -> None:
+    """Guards against a node that goes on after SIGTERM until it is killed.
+
+    Seed 39 of the soak: the exit was raised in a finalizer, which ignores exceptions.
+    """
+    script = (
+        "import os, signal\n"
+        "from jujubetiller.command import _dispatch\n"
+        "_dispatch._prepare_signals()\n"
+        "class Finalized:\n"
+        "    def __del__(self):\n"
+        "        os.kill(os.getpid(), signal.SIGTERM)\n"
+        "        sum(range(1000))\n"
+        "Finalized()\n"
+        "os._exit(3)\n"
+    )
+    environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path) or "."}
+    finished = subprocess.run([sys.executable, "-c", script], env=environment)
+    assert finished.returncode == 0
