--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -154,6 +154,11 @@
         cancel = self.cancel_attempt
         if cancel is None or self.parts.delays.read() > PATIENT_DELAY_MS:
             return
+        if self.parts.state.draining:
+            # A stop must not break off what an instance may be at work on.
+            return
+        if not self.parts.router.has_other(self.service, frozenset(self.tried)):
+            return
         if not self.parts.budget.may_repeat(self.service):
             return
         self.cancel_attempt = None
--- a/src/jujubetiller/routing/_router.py
+++ b/src/jujubetiller/routing/_router.py
@@ -70,6 +70,16 @@
         self.no_instance_refusals += 1
         return _NO_INSTANCE
 
+    def has_other(self, service: str, exclude: frozenset[str]) -> bool:
+        """Return whether an instance that can be reached is not among ``exclude``."""
+        pool = self.pools.get(service)
+        if pool is None:
+            return False
+        return any(
+            stats.instance.instance not in exclude
+            for stats in (*pool.own, *pool.others)
+        )
+
     def usual_ms(self, service: str, kind: str) -> float | None:
         """Return how long calls of ``kind`` usually take, if that is known."""
         pool = self.pools.get(service)
--- a/tests/mesh/test_requests.py
+++ b/tests/mesh/test_requests.py
@@ -240,8 +240,8 @@
     assert record.extra["instances"] == sent_to
 
 
-def lose_patience() -> tuple[local_mesh.LocalMesh, local_node.SentCall]:
-    """Return a node that gave up an attempt, and the attempt."""
+def send_silent_attempt() -> tuple[local_mesh.LocalMesh, local_node.SentCall]:
+    """Return a node that waits for an answer to a repeatable request."""
     node = local_mesh.LocalMesh()
     node.list_instance("ledger-2", service="ledger", address="127.0.0.8:8301")
     node.remove_instance(local_mesh.OWN)
@@ -253,12 +253,41 @@
     while node.pool.calls[-1].request.service != "ledger" or node.outstanding() == 0:
         node.ask("/read/1")
     node.replies.clear()
-    silent = node.pool.calls[-1]
+    return node, node.pool.calls[-1]
+
+
+def lose_patience() -> tuple[local_mesh.LocalMesh, local_node.SentCall]:
+    """Return a node that gave up an attempt, and the attempt."""
+    node, silent = send_silent_attempt()
     node.reactor.advance(0.3)
     assert silent.cancelled == 1
     return node, silent
 
 
+def test_a_silent_attempt_is_kept_while_no_other_instance_can_be_reached() -> None:
+    """Guards against a request that is given up for nothing.
+
+    Seed 24 of the soak: the node of the other instance was away, and the request
+    ended with 504 after 0.17 s although its instance was at work.
+    """
+    node, silent = send_silent_attempt()
+    for stats in tuple(node.parts.router.pools["ledger"].stats.values()):
+        if stats.instance.instance != silent.request.expected_instance:
+            node.parts.router.unreachable(stats.instance)
+    node.reactor.advance(0.3)
+    assert silent.cancelled == 0
+    node.answer()
+    assert node.replies[-1].status == 200
+
+
+def test_a_node_that_stops_breaks_off_no_attempt() -> None:
+    """Guards against a planned stop that ends a request at which an instance works."""
+    node, silent = send_silent_attempt()
+    node.parts.state.draining = True
+    node.reactor.advance(0.3)
+    assert silent.cancelled == 0
+
+
 def test_a_lost_answer_is_given_up_for_another_instance() -> None:
     """Guards against calls that hang on a lost answer until their deadline."""
     node, silent = lose_patience()
