Log which history of the store is read, and count items ignored as old

The logs could not tell whether a node reads the restored history and drops it, gets no events, or gets old items from peers. Each change of the store's epoch is one line, and items that are older than what is known of their keys are logged and counted (jujubetiller_published_ignored). No logic changes.

--- a/src/jujubetiller/http_reads/_http_reader.py
+++ b/src/jujubetiller/http_reads/_http_reader.py
@@ -22,6 +22,7 @@
 
     status: int
     body: bytes
+    headers: http_headers.Headers = attrs.field(factory=http_headers.Headers)
 
 
 Answer = result.Result[HttpAnswer, _read_problem.ReadProblem]
@@ -94,7 +95,7 @@
     body = _body_protocol.BodyProtocol(max_body_bytes)
     response.deliverBody(body)
     return body.finished.addCallback(
-        lambda content: result.Ok(HttpAnswer(response.code, content))
+        lambda content: result.Ok(HttpAnswer(response.code, content, response.headers))
     )
 
 
--- a/src/jujubetiller/mesh/_mesh_counters.py
+++ b/src/jujubetiller/mesh/_mesh_counters.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from jujubetiller import metrics, notices
+from jujubetiller import metrics, notices, published
 from jujubetiller.mesh import _mesh_parts
 
 
@@ -14,8 +14,27 @@
     }
 
 
-def make_groups(parts: _mesh_parts.MeshParts) -> Iterable[metrics.CounterGroup]:
+def read_published(
+    parts: _mesh_parts.MeshParts, state: published.PublishedState
+) -> Mapping[str, float]:
+    """Return the numbers of published items that were not applied, by reason."""
+    return {
+        "older": state.ignored,
+        "observer_error": state.observer_errors,
+        "configuration_rejected": parts.configuration.rejected,
+        "instance_rejected": parts.directory.rejected,
+    }
+
+
+def make_groups(
+    parts: _mesh_parts.MeshParts, state: published.PublishedState
+) -> Iterable[metrics.CounterGroup]:
     """Return the counter groups of a node."""
+    yield metrics.CounterGroup(
+        "published_ignored",
+        "Published items that were not applied, by reason.",
+        lambda: read_published(parts, state),
+    )
     yield from notices.make_groups(parts.guard, parts.notices)
     yield metrics.CounterGroup(
         "guard_refused",
--- a/src/jujubetiller/platform/_store_reader.py
+++ b/src/jujubetiller/platform/_store_reader.py
@@ -11,7 +11,7 @@
 from twisted.internet import defer, interfaces
 
 from jujubetiller import clock, http_reads, published, schema, settings
-from jujubetiller.platform import _fields
+from jujubetiller.platform import _fields, _store_epoch
 
 _LOG = logbook.Logger("jujubetiller.platform")
 
@@ -53,6 +53,10 @@
         self.settings = store_settings
         self.state = state
         self.reader = http_reads.HttpReader(reactor, store_settings.address)
+        self.epoch_reader = _store_epoch.EpochReader()
+        self.epoch: int | None = None
+        """The history that the last answer was from."""
+
         self.backoff = http_reads.Backoff(
             random_source, float(store_settings.longest_pause_ms)
         )
@@ -171,10 +175,21 @@
         )
         if isinstance(answer, result.Err):
             return answer.err_value.value, None
+        self._record_epoch(answer.ok_value)
         if answer.ok_value.status != _OK:
             return answer.ok_value.status, None
         return _OK, json.loads(answer.ok_value.body)
 
+    def _record_epoch(self, answer: http_reads.HttpAnswer) -> None:
+        epoch = self.epoch_reader.read(answer.headers)
+        if epoch is None or epoch == self.epoch:
+            return
+        _LOG.info(
+            "store history read",
+            extra={"store_epoch": epoch, "before": self.epoch, "status": answer.status},
+        )
+        self.epoch = epoch
+
     def _record_success(self) -> None:
         now_ms = self.clock.now_ms()
         self.succeeded_at_ms = now_ms
--- a/src/jujubetiller/published/_published_state.py
+++ b/src/jujubetiller/published/_published_state.py
@@ -32,6 +32,9 @@
         self.listed_at_revision = 0
         """Removals up to this revision may be missing."""
 
+        self.ignored = 0
+        """Items that were ignored because a later change of their key was known."""
+
         self.observer_errors = 0
         self.observers: list[Callable[[list[_Item]], None]] = []
 
@@ -43,6 +46,7 @@
         items = list(changes.items)
         if changes.is_listing:
             items += self._find_missing(changes)
+        self._record_ignored(items)
         changed = [item for item in items if self._merge(item)]
         if changes.is_listing and changes.revision > self.revision:
             self.listed_at_revision = changes.revision
@@ -79,6 +83,26 @@
                 extra={"keys": [item.key for item in changed[:MAX_LOGGED_KEYS]]},
             )
 
+    def _record_ignored(self, items: list[_Item]) -> None:
+        """Count and log the items that are older than what is known of their keys."""
+        ignored = [item for item in items if self._is_older(item)]
+        if not ignored:
+            return
+        self.ignored += len(ignored)
+        _LOG.info(
+            "published items ignored as old",
+            extra={
+                "items": len(ignored),
+                "keys": [item.key for item in ignored[:MAX_LOGGED_KEYS]],
+                "highest": max(item.revision for item in ignored),
+                "known": self.revision,
+            },
+        )
+
+    def _is_older(self, item: _Item) -> bool:
+        known = self.items.get(item.key) or self.removed.get(item.key)
+        return known is not None and known.revision > item.revision
+
     def _find_missing(self, changes: _changes.Changes) -> list[_Item]:
         listed = {item.key for item in changes.items}
         return [
--- /dev/null
+++ b/src/jujubetiller/published/_revision.py
@@ -0,0 +1,26 @@
+"""The order of changes of the store."""
+
+import attrs
+
+MAX_NUMBER = 2**53
+"""The store sends JSON numbers, which are exact up to here."""
+
+
+@attrs.frozen(order=True)
+class Revision:
+    """The position of a change in the histories of the store.
+
+    A store that is restored from a copy starts a new history, in which the numbers of
+    the lost changes are given out again. Every revision of a newer history comes after
+    all those of older ones.
+    """
+
+    epoch: int = 0
+    """Number of the history; it increases with each restore."""
+
+    number: int = 0
+    """Number of the change in its history; it increases across all keys."""
+
+    def describe(self) -> dict[str, int]:
+        """Return the fields by which log lines name the revision."""
+        return {"store_epoch": self.epoch, "revision": self.number}
