--- a/standins/fleet/mesh_fleet.py
+++ b/standins/fleet/mesh_fleet.py
@@ -1,5 +1,6 @@
 """Mesh nodes and stand-in instances on the in-memory network."""
 
+import functools
 import random
 from typing import Any
 
@@ -8,7 +9,7 @@
 from jujubetiller import edge, mesh, platform, published
 from jujubetiller.mesh import _egress_site
 from standins import mesh_site
-from standins.fleet import _given_source, _process_clock, network
+from standins.fleet import _given_source, _process, _process_clock, network
 from standins.mesh_site import documents
 
 APP_PORT = 8301
@@ -60,6 +61,7 @@
         self.items: list[published.PublishedItem] = []
         self.sent: list[SentRequest] = []
         self.starts = 0
+        self.start_store()
         self.publish("op/config", make_configuration())
         for name, place in self.places.items():
             self.start_instance(name, place, work_ms)
@@ -68,6 +70,9 @@
             self.start_node(name)
         self.network.run_for(500.0)
 
+    def start_store(self) -> None:
+        """Do nothing: nodes are given what is published."""
+
     def start_instance(self, name: str, place: Place, work_ms: float) -> None:
         """Start the instance ``name`` in a process of its own."""
         process = self.network.start(f"{name}.instance", place.zone)
@@ -89,10 +94,6 @@
         time_source = _process_clock.ProcessClock(process)
         self.starts += 1
 
-        def make_source(state: published.PublishedState) -> _given_source.GivenSource:
-            self.sources[name] = _given_source.GivenSource(time_source, state)
-            return self.sources[name]
-
         node = mesh.MeshNode(
             process,
             time_source,
@@ -100,13 +101,25 @@
             platform.load_settings(make_settings(name, place)).unwrap(),
             platform.HEADERS,
             platform.PlatformDecoder(),
-            make_source,
+            functools.partial(self.make_source, name, process),
         )
         node.start()
         self.nodes[name] = node
-        self.sources[name].give(self.changes())
+        self.feed_source(name)
         return node
 
+    def make_source(
+        self, name: str, process: _process.Process, state: published.PublishedState
+    ) -> published.ItemSource:
+        """Return what the node ``name`` reads published items from."""
+        time_source = _process_clock.ProcessClock(process)
+        self.sources[name] = _given_source.GivenSource(time_source, state)
+        return self.sources[name]
+
+    def feed_source(self, name: str) -> None:
+        """Give a node that has started what is published."""
+        self.sources[name].give(self.changes())
+
     def kill_node(self, name: str) -> None:
         """Kill the node beside the instance ``name``, which goes on."""
         self.network.kill(self.network.processes[name])
@@ -183,10 +196,10 @@
     return text.replace('zone = "a"', f'zone = "{place.zone}"').encode()
 
 
-def make_configuration() -> bytes:
-    """Return a configuration that routes ``get`` and ``book`` to ``booth``."""
+def make_configuration(version: int = 12, service: str = "booth") -> bytes:
+    """Return a configuration that routes ``get`` and ``book`` to ``service``."""
     rule = documents.CONFIGURATION["listeners"][0]["rules"][1]
-    action = {"service": "booth", "timeout": "3000ms", "max_attempts": 2}
+    action = {"service": service, "timeout": "3000ms", "max_attempts": 2}
     get = {"name": "get", "kind": "idempotent", "priority": READ_CLASS}
     book = {"name": "book", "kind": "non_idempotent", "priority": BOOK_CLASS}
     rules = [
@@ -194,7 +207,9 @@
         {**rule, **book, "match": {"prefix": "/book/"}, "action": action},
     ]
     return documents.encode(
-        documents.CONFIGURATION, listeners=[{"host": "a.example", "rules": rules}]
+        documents.CONFIGURATION,
+        version=f"{version:08x}",
+        listeners=[{"host": "a.example", "rules": rules}],
     )
 
 
--- a/standins/mesh_site/_operator_site.py
+++ b/standins/mesh_site/_operator_site.py
@@ -11,6 +11,8 @@
 class OperatorSite(_stand_in_site.StandInSite):
     """Executes commands with JSON bodies: ``/put``, ``/remove``, ``/down``, ``/fault``.
 
+    ``/restore`` returns the store to the state before its last changes, as many as
+    ``changes`` says; it answers the revision then.
     ``/notices`` sets what an instance says about itself in its answers. ``/runs``
     returns the number of runs of each request, ``/load`` that of each instance, and
     ``/limits`` the arrivals of each instance while it named a rate limit.
@@ -27,6 +29,7 @@
             "/put": self.put,
             "/remove": self.remove,
             "/down": self.set_down,
+            "/restore": self.restore_store,
             "/fault": self.set_fault,
             "/notices": self.set_notices,
             "/runs": self.list_runs,
@@ -64,6 +67,13 @@
         """Make the store refuse all requests, or serve them again."""
         self.store_site.down = document["down"]
 
+    def restore_store(self, document: Any) -> dict[str, int]:
+        """Lose the last changes of the store; watches that wait are cut."""
+        published_store = self.store_site.store
+        published_store.restore(max(1, published_store.revision - document["changes"]))
+        self.store_site.cut_watches()
+        return {"revision": published_store.revision, "epoch": published_store.epoch}
+
     def set_fault(self, document: Any) -> None:
         """Set the injected fault of an instance."""
         self.instances[document["instance"]].fault = document["fault"]
--- a/standins/mesh_site/_store_site.py
+++ b/standins/mesh_site/_store_site.py
@@ -42,11 +42,11 @@
     ) -> Callable[[], None]:
         """Answer a read at once; answer a watch when there are events or time is up."""
         if self.down:
-            reply(edge.EdgeReply(503, [], b""))
+            reply(edge.EdgeReply(503, self.store.headers(), b""))
             return edge.do_nothing
         answer = self.store.answer(message.path)
         if answer is not None:
-            reply(edge.EdgeReply(answer[0], [_JSON], answer[1]))
+            reply(self._make_reply(*answer))
             return edge.do_nothing
         query = dict(parse.parse_qsl(message.path.partition("?")[2]))
         watch = _Watch(message.path, reply, None)
@@ -62,12 +62,21 @@
             answer = self.store.answer(watch.uri)
             if answer is not None:
                 self._remove(watch)
-                watch.reply(edge.EdgeReply(answer[0], [_JSON], answer[1]))
+                watch.reply(self._make_reply(*answer))
+
+    def cut_watches(self) -> None:
+        """Answer all waiting watches with 503."""
+        for watch in tuple(self.watches):
+            self._remove(watch)
+            watch.reply(self._make_reply(503, b""))
+
+    def _make_reply(self, status: int, body: bytes) -> edge.EdgeReply:
+        return edge.EdgeReply(status, [_JSON, *self.store.headers()], body)
 
     def _expire(self, watch: _Watch) -> None:
         self.watches.discard(watch)
         body = json.dumps({"events": [], "as_of": self.store.revision}).encode()
-        watch.reply(edge.EdgeReply(200, [_JSON], body))
+        watch.reply(self._make_reply(200, body))
 
     def _remove(self, watch: _Watch) -> None:
         self.watches.discard(watch)
--- a/standins/store/_published_store.py
+++ b/standins/store/_published_store.py
@@ -20,8 +20,14 @@
 
     page_items: int = 500
     revision: int = 1
+    epoch: int = 1
+    """Number of the store's history, which each answer names."""
+
     items: dict[str, dict[str, Any]] = attrs.field(factory=dict)
     events: list[dict[str, Any]] = attrs.field(factory=list)
+    changes: list[dict[str, Any]] = attrs.field(factory=list)
+    """All events of this history; ``events`` are those that watches may still get."""
+
     history_from: int = 0
     """Watches that start after an earlier revision are answered with 410."""
 
@@ -39,13 +45,38 @@
             "lease": 0,
         }
         self.items[key] = item
-        self.events.append(item)
+        self._record(item)
 
     def remove(self, key: str) -> None:
         """Remove an item."""
         self.revision += 1
         del self.items[key]
-        self.events.append({"key": key, "revision": self.revision, "tombstone": True})
+        self._record({"key": key, "revision": self.revision, "tombstone": True})
+
+    def restore(self, revision: int) -> None:
+        """Return to the state as of ``revision``, as after a restore from a copy.
+
+        The changes since then are lost and their revisions are given out again.
+        """
+        self.changes = [each for each in self.changes if each["revision"] <= revision]
+        self.events = [each for each in self.events if each["revision"] <= revision]
+        self.items = {}
+        for change in self.changes:
+            if "tombstone" in change:
+                self.items.pop(change["key"], None)
+            else:
+                self.items[change["key"]] = change
+        self.revision = revision
+        self.history_from = min(self.history_from, revision)
+        self.epoch += 1
+
+    def headers(self) -> list[tuple[str, str]]:
+        """Return the headers that all answers bear."""
+        return [("Store-Era", str(self.epoch))]
+
+    def _record(self, event: dict[str, Any]) -> None:
+        self.events.append(event)
+        self.changes.append(event)
 
     def compact(self) -> None:
         """Discard the event history."""
@@ -82,7 +113,7 @@
 
     def _watch(self, query: dict[str, str]) -> Answer | None:
         after = int(query["after"])
-        if after < self.history_from:
+        if not self.history_from <= after <= self.revision:
             return 410, b""
         events = [
             event
