Order published items by the store's history first, then by revision

Cause: a restored store gives revisions out again. The state of a node, the reader and the exchange between nodes ordered by the revision alone, so all that was written after the restore was older than what they knew. Change: published.Revision, the epoch of the history and the number in it, is the only order.

--- a/src/jujubetiller/mesh/_configuration_in_force.py
+++ b/src/jujubetiller/mesh/_configuration_in_force.py
@@ -71,7 +71,7 @@
             "configuration in force",
             extra={
                 "version": configuration.version,
-                "revision": item.revision,
+                "revision": str(item.revision),
                 "routes": len(configuration.routes),
             },
         )
--- a/src/jujubetiller/mesh/_instance_directory.py
+++ b/src/jujubetiller/mesh/_instance_directory.py
@@ -18,7 +18,7 @@
     """An instance and the revision of its last report."""
 
     instance: published.PublishedInstance
-    revision: int
+    revision: published.Revision
     is_replaced: bool = False
     """Whether a newer instance is listed at the same address."""
 
@@ -50,7 +50,7 @@
         self.is_store_stable = is_store_stable
         self.is_service = is_service
         self.listed: dict[str, _Listed] = {}
-        self.pending_removals: dict[str, int] = {}
+        self.pending_removals: dict[str, published.Revision] = {}
         """Revisions of the removals that are not applied yet, by instance."""
 
         self.removed: dict[str, published.PublishedInstance] = {}
@@ -141,7 +141,7 @@
                     "service": decoded.ok_value.service,
                     "zone": decoded.ok_value.zone,
                     "draining": decoded.ok_value.draining,
-                    "revision": item.revision,
+                    "revision": str(item.revision),
                 },
             )
         self.listed[name] = _Listed(decoded.ok_value, item.revision)
--- a/src/jujubetiller/mesh/_state_exchange.py
+++ b/src/jujubetiller/mesh/_state_exchange.py
@@ -108,11 +108,12 @@
         if isinstance(decoded, result.Err):
             _LOG.warning("state of peer rejected: {}", decoded.err_value)
             return
+        changes = decoded.ok_value.changes
+        if changes.revision < self.state.revision or not self.state.can_apply(changes):
+            return
+        self.state.apply(changes)
         if decoded.ok_value.is_settled:
             self.store_stability.record_confirmation()
-        changes = decoded.ok_value.changes
-        if changes.revision >= self.state.revision and changes.revision > 0:
-            self.state.apply(changes)
 
     def _schedule(self) -> None:
         if self.is_stopped:
--- a/src/jujubetiller/mesh/_state_message.py
+++ b/src/jujubetiller/mesh/_state_message.py
@@ -8,21 +8,18 @@
 
 from jujubetiller import codes, published, settings
 
-MAX_REVISION = 2**53
-"""Revisions of the store are JSON numbers, which are exact up to here."""
-
 
 @attrs.frozen
 class StateRequest:
     """A request for all changes after ``revision``."""
 
-    revision: int
+    revision: published.Revision
     sender: settings.Address
     """The peer address of the requesting node."""
 
     def encode(self) -> bytes:
         """Return the body of the request."""
-        fields = [self.revision, self.sender.host, self.sender.port]
+        fields = [_encode_revision(self.revision), *attrs.astuple(self.sender)]
         return bytes(msgpack.packb(fields))
 
 
@@ -36,9 +33,10 @@
 
     def encode(self) -> bytes:
         """Return the body of the answer."""
-        items = [[i.key, i.revision, i.value] for i in self.changes.items]
         changes = self.changes
-        fields = [changes.revision, changes.is_listing, self.is_settled, items]
+        items = [[i.key, _encode_revision(i.revision), i.value] for i in changes.items]
+        revision = _encode_revision(changes.revision)
+        fields = [revision, changes.is_listing, self.is_settled, items]
         return bytes(msgpack.packb(fields))
 
 
@@ -47,7 +45,7 @@
     try:
         revision, host, port = msgpack.unpackb(body)
         sender = settings.Address(_check(host, str), _check(port, int))
-        return result.Ok(StateRequest(_check_revision(revision), sender))
+        return result.Ok(StateRequest(_decode_revision(revision), sender))
     except (ValueError, TypeError) as error:
         return result.Err(_describe(error))
 
@@ -58,7 +56,7 @@
         revision, is_listing, is_settled, rows = msgpack.unpackb(body)
         items = tuple(_decode_item(row) for row in _check(rows, list))
         changes = published.Changes(
-            _check_revision(revision), items, _check(is_listing, bool)
+            _decode_revision(revision), items, _check(is_listing, bool)
         )
         return result.Ok(StateAnswer(changes, _check(is_settled, bool)))
     except (ValueError, TypeError) as error:
@@ -69,7 +67,7 @@
     key, revision, value = row
     if value is not None:
         _check(value, bytes)
-    return published.PublishedItem(_check(key, str), _check_revision(revision), value)
+    return published.PublishedItem(_check(key, str), _decode_revision(revision), value)
 
 
 def _check(value: Any, expected: type) -> Any:
@@ -82,11 +80,20 @@
     return value
 
 
-def _check_revision(value: Any) -> int:
-    revision: int = _check(value, int)
-    if not 0 <= revision <= MAX_REVISION:
-        raise ValueError(f"allowed are revisions from 0 to {MAX_REVISION}")
-    return revision
+def _encode_revision(revision: published.Revision) -> list[int]:
+    return [revision.epoch, revision.number]
+
+
+def _decode_revision(value: Any) -> published.Revision:
+    epoch, number = _check(value, list)
+    return published.Revision(_check_number(epoch), _check_number(number))
+
+
+def _check_number(value: Any) -> int:
+    number: int = _check(value, int)
+    if not 0 <= number <= published.MAX_NUMBER:
+        raise ValueError(f"allowed are revisions from 0 to {published.MAX_NUMBER}")
+    return number
 
 
 def _describe(error: Exception) -> codes.Problem:
--- a/src/jujubetiller/published/_changes.py
+++ b/src/jujubetiller/published/_changes.py
@@ -2,14 +2,14 @@
 
 import attrs
 
-from jujubetiller.published import _published_item
+from jujubetiller.published import _published_item, _revision
 
 
 @attrs.frozen
 class Changes:
     """Items that bring a reader up to ``revision``."""
 
-    revision: int
+    revision: _revision.Revision
     """All changes up to this one are in the items or already known to the reader."""
 
     items: tuple[_published_item.PublishedItem, ...]
--- a/src/jujubetiller/published/_published_item.py
+++ b/src/jujubetiller/published/_published_item.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from jujubetiller.published import _revision
+
 
 @attrs.frozen
 class PublishedItem:
@@ -9,8 +11,8 @@
 
     key: str
 
-    revision: int
-    """Number of the change; it increases across all keys."""
+    revision: _revision.Revision
+    """The change that gave the key this value."""
 
     value: bytes | None
     """``None`` after a removal."""
--- a/src/jujubetiller/published/_published_state.py
+++ b/src/jujubetiller/published/_published_state.py
@@ -4,7 +4,7 @@
 
 import logbook
 
-from jujubetiller.published import _changes, _published_item
+from jujubetiller.published import _changes, _published_item, _revision
 
 _Item = _published_item.PublishedItem
 
@@ -22,14 +22,18 @@
 
     No change up to ``revision`` is missing. Observers get the items that changed,
     in the order of their revisions.
+
+    Items of a newer history of the store replace those of older ones, also where
+    their numbers are lower. Only a listing leads to a newer history, as it tells which
+    keys the restored store lacks.
     """
 
     def __init__(self, max_removed: int = MAX_REMOVED) -> None:
         self.max_removed = max_removed
         self.items: dict[str, _Item] = {}
         self.removed: dict[str, _Item] = {}
-        self.revision = 0
-        self.listed_at_revision = 0
+        self.revision = _revision.Revision()
+        self.listed_at_revision = _revision.Revision()
         """Removals up to this revision may be missing."""
 
         self.ignored = 0
@@ -42,7 +46,10 @@
         """Merge ``changes``.
 
         A listing removes the keys that it lacks, unless they changed after it.
+        Raises ``ValueError`` for changes that ``can_apply`` rejects.
         """
+        if not self.can_apply(changes):
+            raise ValueError("a newer history must begin with a listing")
         items = list(changes.items)
         if changes.is_listing:
             items += self._find_missing(changes)
@@ -56,7 +63,11 @@
             for observer in self.observers:
                 self._notify(observer, changed)
 
-    def changes_since(self, revision: int) -> _changes.Changes:
+    def can_apply(self, changes: _changes.Changes) -> bool:
+        """Return whether ``changes`` leave no gap: a newer history needs a listing."""
+        return changes.is_listing or changes.revision.epoch <= self.revision.epoch
+
+    def changes_since(self, revision: _revision.Revision) -> _changes.Changes:
         """Return the changes that a reader which has those up to ``revision`` lacks."""
         is_listing = revision < self.listed_at_revision
         if is_listing:
@@ -94,8 +105,8 @@
             extra={
                 "items": len(ignored),
                 "keys": [item.key for item in ignored[:MAX_LOGGED_KEYS]],
-                "highest": max(item.revision for item in ignored),
-                "known": self.revision,
+                "highest": str(max(item.revision for item in ignored)),
+                "known": str(self.revision),
             },
         )
 
--- a/src/jujubetiller/published/_revision.py
+++ b/src/jujubetiller/published/_revision.py
@@ -21,6 +21,5 @@
     number: int = 0
     """Number of the change in its history; it increases across all keys."""
 
-    def describe(self) -> dict[str, int]:
-        """Return the fields by which log lines name the revision."""
-        return {"store_epoch": self.epoch, "revision": self.number}
+    def __str__(self) -> str:
+        return f"{self.epoch}:{self.number}"
--- a/standins/fleet/mesh_fleet.py
+++ b/standins/fleet/mesh_fleet.py
@@ -139,14 +139,17 @@
 
     def publish(self, key: str, value: bytes | None) -> None:
         """Publish an item; nodes that reach the store apply it at once."""
-        item = published.PublishedItem(key, len(self.items) + 1, value)
+        revision = published.Revision(number=len(self.items) + 1)
+        item = published.PublishedItem(key, revision, value)
         self.items.append(item)
         for source in self.sources.values():
             source.give(published.Changes(item.revision, (item,), False))
 
     def changes(self) -> published.Changes:
         """Return all items published so far."""
-        return published.Changes(len(self.items), tuple(self.items), False)
+        return published.Changes(
+            published.Revision(number=len(self.items)), tuple(self.items), False
+        )
 
     def send(self, entry: str, kind: str = "get", time_left_ms: int = 2_000) -> None:
         """Send a request of a client of the node ``entry``."""
--- a/tests/mesh/local_mesh.py
+++ b/tests/mesh/local_mesh.py
@@ -81,8 +81,9 @@
     def publish(self, key: str, value: bytes | None) -> None:
         """Apply a changed item to the node's published state."""
         self.revision += 1
-        items = (Item(key, self.revision, value),)
-        self.node.state.apply(published.Changes(self.revision, items, False))
+        revision = published.Revision(number=self.revision)
+        items = (Item(key, revision, value),)
+        self.node.state.apply(published.Changes(revision, items, False))
 
     def list_instance(self, name: str, **changes: Any) -> None:
         entry = {
--- a/tests/mesh/test_published_changes.py
+++ b/tests/mesh/test_published_changes.py
@@ -158,7 +158,7 @@
     """Guards against a restarted node without state while the store refuses it."""
     known, restarted = local_mesh.LocalMesh(), local_mesh.LocalMesh()
     restarted.node.state.items.clear()
-    restarted.node.state.revision = 0
+    restarted.node.state.revision = published.Revision()
     restarted.parts.directory.listed.clear()
     restarted.parts.configuration.current = None
     restarted.source.age = -1.0
@@ -186,7 +186,8 @@
     for body in (b"", b"\xc1", b"\x91\x01", b"\xa3abc"):
         assert _state_message.decode_request(body).is_err()
         assert _state_message.decode_answer(body).is_err()
-    changes = published.Changes(7, (local_mesh.Item("a", 7, None),), True)
+    revision = published.Revision(2, 7)
+    changes = published.Changes(revision, (local_mesh.Item("a", revision, None),), True)
     answer = _state_message.StateAnswer(changes, True)
     assert _state_message.decode_answer(answer.encode()).unwrap() == answer
 
--- a/tests/mesh/test_state_messages.py
+++ b/tests/mesh/test_state_messages.py
@@ -10,35 +10,42 @@
 from jujubetiller.mesh import _state_message
 
 ADDRESS = settings.Address("127.0.0.1", 7620)
+REVISION = [2, 1]
+BAD_REVISIONS: list[Any] = [
+    1,
+    None,
+    True,
+    "1",
+    [],
+    [1],
+    [1, 2, 3],
+    *(
+        revision
+        for bad in (float("inf"), float("nan"), 2**63, -1, True, "1", None)
+        for revision in ([2, bad], [bad, 2])
+    ),
+]
 REQUESTS: list[Any] = [
     1,
     [],
     {},
-    [float("inf"), "127.0.0.1", 1],
-    [float("nan"), "127.0.0.1", 1],
-    [2**63, "127.0.0.1", 1],
-    [-1, "127.0.0.1", 1],
-    [True, "127.0.0.1", 1],
-    ["1", "127.0.0.1", 1],
-    [1, 5, 1],
-    [1, "a host", 1],
-    [1, "127.0.0.1", 1.5],
-    [1, "127.0.0.1", 10**6],
+    *([revision, "127.0.0.1", 1] for revision in BAD_REVISIONS),
+    [REVISION, 5, 1],
+    [REVISION, "a host", 1],
+    [REVISION, "127.0.0.1", 1.5],
+    [REVISION, "127.0.0.1", 10**6],
 ]
 ANSWERS: list[Any] = [
     1,
-    [1, True, True],
-    [1, True, True, 5],
-    [1, True, True, {"a": 1}],
-    [float("inf"), True, True, []],
-    [2**63, True, True, []],
-    [None, True, True, []],
-    [1, 1, True, []],
-    [1, True, "yes", []],
-    [1, True, True, [[1, 2, b""]]],
-    [1, True, True, [["k", float("inf"), b""]]],
-    [1, True, True, [["k", -1, b""]]],
-    [1, True, True, [["k", 1, "text"]]],
+    [REVISION, True, True],
+    [REVISION, True, True, 5],
+    [REVISION, True, True, {"a": 1}],
+    *([revision, True, True, []] for revision in BAD_REVISIONS),
+    [REVISION, 1, True, []],
+    [REVISION, True, "yes", []],
+    [REVISION, True, True, [[1, REVISION, b""]]],
+    *([REVISION, True, True, [["k", bad, b""]]] for bad in BAD_REVISIONS),
+    [REVISION, True, True, [["k", REVISION, "text"]]],
 ]
 CASES = [
     *((_state_message.decode_request, document) for document in REQUESTS),
@@ -62,11 +69,13 @@
 
 
 def test_valid_messages_arrive_unchanged() -> None:
-    request = _state_message.StateRequest(7, ADDRESS)
+    request = _state_message.StateRequest(published.Revision(2, 7), ADDRESS)
     assert _state_message.decode_request(request.encode()).unwrap() == request
     items = (
-        published.PublishedItem("k", 6, b"v"),
-        published.PublishedItem("gone", 7, None),
+        published.PublishedItem("k", published.Revision(1, 6), b"v"),
+        published.PublishedItem("gone", published.Revision(2, 7), None),
+    )
+    answer = _state_message.StateAnswer(
+        published.Changes(published.Revision(2, 7), items, True), False
     )
-    answer = _state_message.StateAnswer(published.Changes(7, items, True), False)
     assert _state_message.decode_answer(answer.encode()).unwrap() == answer
--- a/tests/platform/test_any_documents.py
+++ b/tests/platform/test_any_documents.py
@@ -55,7 +55,7 @@
         ("op/config", documents.CONFIGURATION, decoder.decode_configuration),
     ):
         text = json.dumps(replace_somewhere(document, steps, value)).encode()
-        decoded = decode(published.PublishedItem(key, 1, text))
+        decoded = decode(published.PublishedItem(key, published.Revision(0, 1), text))
         if isinstance(decoded, result.Err):
             assert decoded.err_value.message
 
@@ -64,7 +64,7 @@
 @hypothesis.given(text=st.binary(max_size=80))
 def test_random_bytes_are_rejected(text: bytes) -> None:
     decoder = platform.PlatformDecoder()
-    item = published.PublishedItem("servers/a", 1, text)
+    item = published.PublishedItem("servers/a", published.Revision(0, 1), text)
     assert decoder.decode_instance(item).is_err()
     assert platform.load_settings(text).is_err()
 
--- a/tests/platform/test_decoder.py
+++ b/tests/platform/test_decoder.py
@@ -12,7 +12,7 @@
 
 
 def make_item(key: str, value: bytes) -> published.PublishedItem:
-    return published.PublishedItem(key, 7, value)
+    return published.PublishedItem(key, published.Revision(0, 7), value)
 
 
 def test_an_entry_of_an_instance_is_decoded_completely() -> None:
--- a/tests/platform/test_store_reader.py
+++ b/tests/platform/test_store_reader.py
@@ -7,6 +7,7 @@
 import pytest
 import result
 from twisted.internet import defer, task
+from twisted.web import http_headers
 
 from jujubetiller import http_reads, platform, published, settings
 from standins import store
@@ -31,6 +32,9 @@
         self.reactor = reactor
         self.store = published_store
         self.failure: Any = None
+        self.headers: list[tuple[str, str]] = []
+        """Headers of the answers in place of those of the store."""
+
         self.paths: list[str] = []
         self.waiting: list[Read] = []
 
@@ -57,7 +61,14 @@
             if answer is not None:
                 self.waiting.remove(read)
                 read.timeout.cancel()
-                read.done.callback(result.Ok(http_reads.HttpAnswer(*answer)))
+                read.done.callback(result.Ok(self.make_answer(*answer)))
+
+    def make_answer(self, status: int, body: bytes) -> http_reads.HttpAnswer:
+        """Return an answer of the store with its headers, or with those of the test."""
+        headers = http_headers.Headers()
+        for name, value in self.headers or self.store.headers():
+            headers.addRawHeader(name, value)
+        return http_reads.HttpAnswer(status, body, headers)
 
 
 class World:
