Let no confirmation about an older history apply removals

After a restore, the list lacks living instances until they write again. Removals wait until the store has been back for 2.5 s, or until a peer with a stable store confirms them. A confirmation from before the restore, or of a peer that still reads the older history, counted as well, and would have removed instances that live. Confirmations hold for one history. test_a_confirmation_of_an_older_history_applies_no_removal fails without the comparison (shown by switching it off).

--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -83,6 +83,7 @@
         self.source = make_source(self.state)
         self.store_stability = _store_stability.StoreStability(
             time_source,
+            self.state,
             self.source,
             float(
                 node_settings.store.watch_wait_ms
--- a/src/jujubetiller/mesh/_store_stability.py
+++ b/src/jujubetiller/mesh/_store_stability.py
@@ -11,16 +11,24 @@
 
     Right after an outage, removals may be entries that expired although their
     instances still run. A peer whose reads of the store are stable confirms the
-    state that it sends, so its removals may be applied too.
+    state that it sends, so its removals may be applied too. What was stable in an older
+    history of the store is not so in a newer one.
     """
 
     def __init__(
-        self, time_source: clock.Clock, source: published.ItemSource, max_age_ms: float
+        self,
+        time_source: clock.Clock,
+        state: published.PublishedState,
+        source: published.ItemSource,
+        max_age_ms: float,
     ) -> None:
         self.clock = time_source
+        self.state = state
         self.source = source
         self.max_age_ms = max_age_ms
         self.confirmed_at_ms: float | None = None
+        self.confirmed_epoch = 0
+        """The history of the store that the confirmation is about."""
 
     def is_own_stable(self) -> bool:
         """Return whether this node's own reads of the store are stable."""
@@ -32,6 +40,7 @@
     def record_confirmation(self) -> None:
         """Record that a peer whose store is stable has sent its state."""
         self.confirmed_at_ms = self.clock.now_ms()
+        self.confirmed_epoch = self.state.revision.epoch
 
     def is_stable(self) -> bool:
         """Return whether removals may be applied now."""
@@ -39,5 +48,6 @@
             return True
         return (
             self.confirmed_at_ms is not None
+            and self.confirmed_epoch == self.state.revision.epoch
             and self.clock.now_ms() - self.confirmed_at_ms < STABLE_AFTER_MS
         )
--- a/tests/mesh/test_published_changes.py
+++ b/tests/mesh/test_published_changes.py
@@ -76,6 +76,22 @@
     assert local_mesh.FIRST not in routable_names(node)
 
 
+def test_a_confirmation_of_an_older_history_applies_no_removal() -> None:
+    """Guards against living instances that a restored store does not list yet."""
+    node = local_mesh.LocalMesh()
+    node.source.age = 60_000.0
+    node.node.store_stability.record_confirmation()
+    state = node.node.state
+    revision = published.Revision(state.revision.epoch + 1, 3)
+    config = attrs.evolve(state.items["op/config"], revision=revision)
+    state.apply(published.Changes(revision, (config,), True))
+    node.parts.directory.apply_removals()
+    assert local_mesh.FIRST in routable_names(node)
+    node.node.store_stability.record_confirmation()
+    node.parts.directory.apply_removals()
+    assert local_mesh.FIRST not in routable_names(node)
+
+
 def test_the_last_instance_at_an_address_gets_the_calls() -> None:
     """Guards against calls to a stopped instance whose address is in use again."""
     node = local_mesh.LocalMesh()
