Keep what a restored store has lost, and compare with peers before serving

A restored store holds an older configuration until the operator writes again, and instances that have left stand in its list again. A running node did not take the older version, but a node that started in that moment did (version 12 in force where 20 was), and a removed instance whose last report was restored got requests again. Cause: items were ordered by the store's counter alone, which the restore sets back. Their publishers' own order does not go back. Change: items carry the publisher's version (the configuration's version; start and sequence of an instance). A node retains the later value or the removal for as long as the store holds an older one, and nodes give each other what they retain; a node of an older history gives what it would. A removed key is used again when it was written anew, or when the store still holds it 8 s after its return, as the entry of an instance that is gone has expired by then. Tests that waited for the store's first answer now wait for the comparison.

--- a/bench/mesh_demo.py
+++ b/bench/mesh_demo.py
@@ -57,7 +57,7 @@
     demonstration.send("calm")
     site.nodes[KILLED].process.kill()
     demonstration.send("a node was killed")
-    site.start_node(KILLED).wait_for("store answers")
+    site.start_node(KILLED).wait_for("state compared with peers")
     site.tell("down", down=True)
     demonstration.send("the store turns all away")
     site.tell("down", down=False)
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -79,7 +79,7 @@
         self.reactor = reactor
         self.settings = node_settings
         self.boot_id = uuid.UUID(int=random_source.getrandbits(128), version=4).hex
-        self.state = published.PublishedState()
+        self.state = published.PublishedState(decoder)
         self.source = make_source(self.state)
         self.store_stability = _store_stability.StoreStability(
             time_source,
@@ -232,6 +232,7 @@
     def apply_instances(self, items: list[published.PublishedItem]) -> None:
         """Apply changed instances, and set the guard's slots from the own instance."""
         self.parts.directory.apply(items)
+        self.exchange.start_comparison.begin()
         if self.applied_version != self.parts.configuration.version:
             self.applied_version = self.parts.configuration.version
             self.parts.directory.refresh()
@@ -263,6 +264,8 @@
         # Scheduled first, so that an exception below does not end the tasks.
         self.reactor.callLater(HOUSEKEEPING_INTERVAL_MS / 1000.0, self.run_housekeeping)
         self.parts.directory.apply_removals()
+        if self.store_stability.have_entries_expired():
+            self.state.release_removals()
         self.load_log.write_if_due()
 
     def reload(self, node_settings: settings.MeshSettings) -> None:
--- a/src/jujubetiller/mesh/_mesh_parts.py
+++ b/src/jujubetiller/mesh/_mesh_parts.py
@@ -57,5 +57,9 @@
     prober: "_peer_prober.PeerProber" = attrs.field(init=False)
 
     def is_ready(self) -> bool:
-        """Return whether the node has a configuration and knows an instance."""
-        return self.configuration.current is not None and bool(self.directory.listed)
+        """Return whether the node can route requests as its peers do."""
+        return (
+            self.state.is_compared
+            and self.configuration.current is not None
+            and bool(self.directory.listed)
+        )
--- a/src/jujubetiller/mesh/_mesh_state.py
+++ b/src/jujubetiller/mesh/_mesh_state.py
@@ -5,11 +5,14 @@
 
 @attrs.define
 class MeshState:
-    """Whether the node is draining, and how many requests it is handling."""
+    """Whether the node takes requests, and how many it is handling."""
 
     draining: bool = False
     refuses_peers: bool = False
     """Whether peers have been notified to send no more calls."""
 
+    is_compared: bool = False
+    """Whether the node has compared its published state with peers since its start."""
+
     requests_under_way: int = 0
     """Requests of clients of this node that have no answer yet."""
--- a/src/jujubetiller/mesh/_state_exchange.py
+++ b/src/jujubetiller/mesh/_state_exchange.py
@@ -7,7 +7,12 @@
 import result
 
 from jujubetiller import calls, codes, published, settings
-from jujubetiller.mesh import _mesh_parts, _state_message, _store_stability
+from jujubetiller.mesh import (
+    _mesh_parts,
+    _start_comparison,
+    _state_message,
+    _store_stability,
+)
 
 _LOG = logbook.Logger("jujubetiller.mesh")
 
@@ -21,6 +26,10 @@
 them."""
 
 
+def _do_nothing() -> None:
+    """Do nothing; the default callback."""
+
+
 class StateExchange:
     """Periodically requests missing changes from two peers.
 
@@ -42,7 +51,12 @@
         self.store_stability = store_stability
         self.own_address = own_address
         self.recent_senders: list[settings.Address] = []
-        self.pending: set[settings.Address] = set()
+        self.pending: dict[settings.Address, list[Callable[[], None]]] = {}
+        """Peers that have not answered yet, with what is called when they do."""
+
+        self.start_comparison = _start_comparison.StartComparison(
+            parts, self.request_changes
+        )
         self.is_stopped = False
 
     def start(self) -> None:
@@ -66,6 +80,7 @@
         body = _state_message.StateAnswer(
             self.state.changes_since(state_request.revision),
             self.store_stability.is_own_stable(),
+            self._find_retained_for(state_request),
         ).encode()
         return calls.CallAnswer(
             outcome=codes.Outcome.ANSWERED,
@@ -74,13 +89,33 @@
             body=body,
         )
 
-    def request_changes(self, address: settings.Address) -> None:
-        """Request the changes that this node lacks from one peer."""
-        if address in self.pending or address == self.own_address():
+    def _find_retained_for(
+        self, state_request: _state_message.StateRequest
+    ) -> tuple[published.RetainedItem, ...]:
+        """Return what this node may know better than the store and the sender."""
+        if state_request.revision.epoch > self.state.revision.epoch:
+            return self.state.list_values_to_retain()
+        retained = self.state.retained
+        if retained.digest() == state_request.retained_digest:
+            return ()
+        return retained.all()
+
+    def request_changes(
+        self, address: settings.Address, ended: Callable[[], None] = _do_nothing
+    ) -> None:
+        """Request the changes that this node lacks from one peer.
+
+        ``ended`` is called once the answer is applied, or when there is none.
+        """
+        if address == self.own_address():
+            ended()
+            return
+        callbacks = self.pending.setdefault(address, [])
+        callbacks.append(ended)
+        if len(callbacks) > 1:
             return
-        self.pending.add(address)
         state_request = _state_message.StateRequest(
-            self.state.revision, self.own_address()
+            self.state.revision, self.own_address(), self.state.retained.digest()
         )
         request = calls.CallRequest(
             service=STATE_SERVICE,
@@ -96,8 +131,10 @@
         deadline = calls.Deadline.after(self.parts.clock, ANSWER_TIMEOUT_MS)
 
         def answered(answer: calls.CallAnswer) -> None:
-            self.pending.discard(address)
+            callbacks = self.pending.pop(address, ())
             self._apply_answer(answer)
+            for callback in callbacks:
+                callback()
 
         self.parts.pool.send_call(address, request, deadline, answered)
 
@@ -109,10 +146,11 @@
             _LOG.warning("state of peer rejected: {}", decoded.err_value)
             return
         changes = decoded.ok_value.changes
-        if changes.revision < self.state.revision or not self.state.can_apply(changes):
-            return
-        self.state.apply(changes)
-        if decoded.ok_value.is_settled:
+        is_newer = changes.revision >= self.state.revision
+        if is_newer and self.state.can_apply(changes):
+            self.state.apply(changes)
+        self.state.apply_retained(decoded.ok_value.retained)
+        if decoded.ok_value.is_settled and changes.revision >= self.state.revision:
             self.store_stability.record_confirmation()
 
     def _schedule(self) -> None:
--- a/src/jujubetiller/mesh/_state_message.py
+++ b/src/jujubetiller/mesh/_state_message.py
@@ -17,9 +17,13 @@
     sender: settings.Address
     """The peer address of the requesting node."""
 
+    retained_digest: int = 0
+    """What the requesting node retains, see ``RetainedItems.digest``."""
+
     def encode(self) -> bytes:
         """Return the body of the request."""
-        fields = [_encode_revision(self.revision), *attrs.astuple(self.sender)]
+        revision = _encode_revision(self.revision)
+        fields = [revision, *attrs.astuple(self.sender), self.retained_digest]
         return bytes(msgpack.packb(fields))
 
 
@@ -31,21 +35,28 @@
     is_settled: bool
     """Whether the answering node's own reads of the store are stable."""
 
+    retained: tuple[published.RetainedItem, ...] = ()
+    """What the answering node knows better than the store, if that differs from what
+    the requesting node does."""
+
     def encode(self) -> bytes:
         """Return the body of the answer."""
         changes = self.changes
-        items = [[i.key, _encode_revision(i.revision), i.value] for i in changes.items]
+        items = [_encode_item(item) for item in changes.items]
+        retained = [[_encode_item(r.item), r.is_removed] for r in self.retained]
         revision = _encode_revision(changes.revision)
-        fields = [revision, changes.is_listing, self.is_settled, items]
+        fields = [revision, changes.is_listing, self.is_settled, items, retained]
         return bytes(msgpack.packb(fields))
 
 
 def decode_request(body: bytes) -> result.Result[StateRequest, codes.Problem]:
     """Return the request in ``body``."""
     try:
-        revision, host, port = msgpack.unpackb(body)
+        revision, host, port, digest = msgpack.unpackb(body)
         sender = settings.Address(_check(host, str), _check(port, int))
-        return result.Ok(StateRequest(_decode_revision(revision), sender))
+        return result.Ok(
+            StateRequest(_decode_revision(revision), sender, _check(digest, int))
+        )
     except (ValueError, TypeError) as error:
         return result.Err(_describe(error))
 
@@ -53,16 +64,31 @@
 def decode_answer(body: bytes) -> result.Result[StateAnswer, codes.Problem]:
     """Return the answer in ``body``."""
     try:
-        revision, is_listing, is_settled, rows = msgpack.unpackb(body)
+        revision, is_listing, is_settled, rows, retained = msgpack.unpackb(body)
         items = tuple(_decode_item(row) for row in _check(rows, list))
         changes = published.Changes(
             _decode_revision(revision), items, _check(is_listing, bool)
         )
-        return result.Ok(StateAnswer(changes, _check(is_settled, bool)))
+        return result.Ok(
+            StateAnswer(
+                changes,
+                _check(is_settled, bool),
+                tuple(_decode_retained(row) for row in _check(retained, list)),
+            )
+        )
     except (ValueError, TypeError) as error:
         return result.Err(_describe(error))
 
 
+def _encode_item(item: published.PublishedItem) -> list[Any]:
+    return [item.key, _encode_revision(item.revision), item.value]
+
+
+def _decode_retained(row: Any) -> published.RetainedItem:
+    item, is_removed = _check(row, list)
+    return published.RetainedItem(_decode_item(item), _check(is_removed, bool))
+
+
 def _decode_item(row: Any) -> published.PublishedItem:
     key, revision, value = row
     if value is not None:
--- a/src/jujubetiller/mesh/_store_stability.py
+++ b/src/jujubetiller/mesh/_store_stability.py
@@ -5,6 +5,10 @@
 STABLE_AFTER_MS = 2_500.0
 """Time after an outage of the store by which expired entries are published again."""
 
+RESTORED_ENTRIES_EXPIRE_MS = 8_000.0
+"""Time after a restore of the store by which it has removed the entries of instances
+that no longer report: three heartbeats of 1,500 ms, and a margin."""
+
 
 class StoreStability:
     """Determines whether the store has answered for long enough since its last outage.
@@ -37,6 +41,11 @@
             return False
         return self.clock.now_ms() - self.source.recovered_at_ms() >= STABLE_AFTER_MS
 
+    def have_entries_expired(self) -> bool:
+        """Return whether a restored store no longer holds instances that are gone."""
+        since_ms = self.clock.now_ms() - self.source.recovered_at_ms()
+        return self.is_own_stable() and since_ms >= RESTORED_ENTRIES_EXPIRE_MS
+
     def record_confirmation(self) -> None:
         """Record that a peer whose store is stable has sent its state."""
         self.confirmed_at_ms = self.clock.now_ms()
--- a/src/jujubetiller/platform/_decoder.py
+++ b/src/jujubetiller/platform/_decoder.py
@@ -24,6 +24,27 @@
         """Return whether ``key`` is that of the operator's configuration."""
         return key == _configuration.KEY
 
+    def read_version(
+        self, item: published.PublishedItem
+    ) -> published.PublisherVersion | None:
+        """Return the configuration's version, or the instance's start and sequence."""
+        if self.is_configuration(item.key):
+            configuration = self.decode_configuration(item)
+            if isinstance(configuration, result.Err):
+                return None
+            return published.PublisherVersion(0, configuration.ok_value.version)
+        if self.instance_name(item.key) is None:
+            return None
+        instance = self.decode_instance(item)
+        if isinstance(instance, result.Err) or not instance.ok_value.started_unix_ms:
+            return None
+        report = instance.ok_value
+        return published.PublisherVersion(report.started_unix_ms, report.sequence)
+
+    def outlives_removal(self, key: str) -> bool:
+        """Return True for the configuration, of which there is always one."""
+        return self.is_configuration(key)
+
     def decode_instance(
         self, item: published.PublishedItem
     ) -> result.Result[published.PublishedInstance, codes.Problem]:
--- a/src/jujubetiller/platform/_store_reader.py
+++ b/src/jujubetiller/platform/_store_reader.py
@@ -185,8 +185,7 @@
         return None
 
     async def _watch(self, after: published.Revision) -> str | None:
-        jitter = 1.0 - WAIT_JITTER * self.random.random()
-        wait_ms = int(self.settings.watch_wait_ms * jitter)
+        wait_ms = self._draw_wait_ms(after)
         query = {"prefix": "", "after": str(after.number), "wait_ms": str(wait_ms)}
         self.watched_epoch = after.epoch
         answer = await self._get("/kv-watch", query, wait_ms)
@@ -210,6 +209,13 @@
         self._apply(published.Changes(revision, events, False))
         return None
 
+    def _draw_wait_ms(self, after: published.Revision) -> int:
+        """Return how long the next watch waits; 0 in a history not read before."""
+        if self.read_epoch < after.epoch:
+            return 0
+        jitter = 1.0 - WAIT_JITTER * self.random.random()
+        return int(self.settings.watch_wait_ms * jitter)
+
     def _apply(self, changes: published.Changes) -> None:
         # Recorded first: removals after an outage or a restore have to wait.
         has_recovered = self._record_success(changes.revision)
--- a/src/jujubetiller/published/__init__.py
+++ b/src/jujubetiller/published/__init__.py
@@ -3,9 +3,12 @@
 from jujubetiller.published._changes import Changes
 from jujubetiller.published._item_decoder import ItemDecoder
 from jujubetiller.published._item_source import ItemSource
+from jujubetiller.published._item_versions import ItemVersions
 from jujubetiller.published._published_instance import PublishedInstance
 from jujubetiller.published._published_item import PublishedItem
 from jujubetiller.published._published_state import PublishedState
+from jujubetiller.published._publisher_version import PublisherVersion
+from jujubetiller.published._retained_item import RetainedItem
 from jujubetiller.published._revision import MAX_NUMBER, Revision
 
 __all__ = [
@@ -13,8 +16,11 @@
     "Changes",
     "ItemDecoder",
     "ItemSource",
+    "ItemVersions",
     "PublishedInstance",
     "PublishedItem",
     "PublishedState",
+    "PublisherVersion",
+    "RetainedItem",
     "Revision",
 ]
--- a/src/jujubetiller/published/_item_decoder.py
+++ b/src/jujubetiller/published/_item_decoder.py
@@ -5,10 +5,14 @@
 import result
 
 from jujubetiller import codes, routes
-from jujubetiller.published import _published_instance, _published_item
+from jujubetiller.published import (
+    _item_versions,
+    _published_instance,
+    _published_item,
+)
 
 
-class ItemDecoder(abc.ABC):
+class ItemDecoder(_item_versions.ItemVersions):
     """Turns published items into configurations and instances."""
 
     @abc.abstractmethod
--- a/src/jujubetiller/published/_published_state.py
+++ b/src/jujubetiller/published/_published_state.py
@@ -1,12 +1,21 @@
 """The published items that a node knows."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
+import attrs
 import logbook
 
-from jujubetiller.published import _changes, _published_item, _revision
+from jujubetiller.published import (
+    _changes,
+    _item_versions,
+    _published_item,
+    _retained_item,
+    _retained_items,
+    _revision,
+)
 
 _Item = _published_item.PublishedItem
+_Retained = _retained_item.RetainedItem
 
 _LOG = logbook.Logger("jujubetiller.published")
 
@@ -17,6 +26,14 @@
 listing."""
 
 
+@attrs.frozen
+class _Removal:
+    """A removal and the value before it, if that is known."""
+
+    item: _Item
+    last: _Item | None
+
+
 class PublishedState:
     """Merges items of the store and of peers; the higher revision of a key wins.
 
@@ -25,17 +42,27 @@
 
     Items of a newer history of the store replace those of older ones, also where
     their numbers are lower. Only a listing leads to a newer history, as it tells which
-    keys the restored store lacks.
+    keys the restored store lacks. Values that their publishers have since replaced are
+    not passed on: ``retained`` holds the later ones that the node or a peer knows.
     """
 
-    def __init__(self, max_removed: int = MAX_REMOVED) -> None:
+    def __init__(
+        self,
+        versions: _item_versions.ItemVersions,
+        max_removed: int = MAX_REMOVED,
+    ) -> None:
+        self.versions = versions
         self.max_removed = max_removed
         self.items: dict[str, _Item] = {}
-        self.removed: dict[str, _Item] = {}
+        self.removed: dict[str, _Removal] = {}
+        self.retained = _retained_items.RetainedItems(versions)
         self.revision = _revision.Revision()
         self.listed_at_revision = _revision.Revision()
         """Removals up to this revision may be missing."""
 
+        self.released_epoch: int | None = None
+        """The history in which removals are no longer retained."""
+
         self.ignored = 0
         """Items that were ignored because a later change of their key was known."""
 
@@ -46,6 +73,7 @@
         """Merge ``changes``.
 
         A listing removes the keys that it lacks, unless they changed after it.
+
         Raises ``ValueError`` for changes that ``can_apply`` rejects.
         """
         if not self.can_apply(changes):
@@ -58,10 +86,45 @@
         if changes.is_listing and changes.revision > self.revision:
             self.listed_at_revision = changes.revision
         self.revision = max(self.revision, changes.revision)
-        if changed:
-            changed.sort(key=lambda item: item.revision)
-            for observer in self.observers:
-                self._notify(observer, changed)
+        self._notify_all(changed)
+
+    def apply_retained(self, items: Iterable[_Retained]) -> None:
+        """Merge what a peer knows better than the store."""
+        taken = [retained for retained in items if self._takes(retained)]
+        _retained_items.log_retained(taken, "peer")
+        self._notify_all([self._make_effective(retained) for retained in taken])
+
+    def list_values_to_retain(self) -> tuple[_Retained, ...]:
+        """Return what a reader that is in a newer history may not know.
+
+        These are values that outlive a removal, and the last ones of removed keys.
+        """
+        lasting = (
+            _Retained(item, False)
+            for key, item in self.items.items()
+            if self.versions.outlives_removal(key)
+        )
+        removed = (
+            _Retained(removal.last, True)
+            for removal in self.removed.values()
+            if removal.last is not None
+        )
+        return (*lasting, *removed)[: self.retained.max_retained]
+
+    def release_removals(self) -> None:
+        """Use the instances that the store still holds although they were removed.
+
+        Called when the store has been back for so long that the entries of those that
+        are gone have expired. They are not retained again in this history.
+        """
+        if self.released_epoch == self.revision.epoch:
+            return
+        self.released_epoch = self.revision.epoch
+        keys = self.retained.drop_removals()
+        released = [self.items[key] for key in keys if key in self.items]
+        for item in released:
+            _LOG.info("removed item is back", extra={"key": item.key})
+        self._notify_all(released)
 
     def can_apply(self, changes: _changes.Changes) -> bool:
         """Return whether ``changes`` leave no gap: a newer history needs a listing."""
@@ -73,10 +136,18 @@
         if is_listing:
             items = list(self.items.values())
         else:
-            known = (*self.items.values(), *self.removed.values())
+            removals = (removal.item for removal in self.removed.values())
+            known = (*self.items.values(), *removals)
             items = [item for item in known if item.revision > revision]
         return _changes.Changes(self.revision, tuple(items), is_listing)
 
+    def _notify_all(self, changed: list[_Item]) -> None:
+        if not changed:
+            return
+        changed.sort(key=lambda item: item.revision)
+        for observer in self.observers:
+            self._notify(observer, changed)
+
     def _notify(
         self, observer: Callable[[list[_Item]], None], changed: list[_Item]
     ) -> None:
@@ -110,8 +181,13 @@
             },
         )
 
+    def _find_known(self, key: str) -> _Item | None:
+        """Return the last change of ``key``, which may be its removal."""
+        removal = self.removed.get(key)
+        return self.items.get(key) if removal is None else removal.item
+
     def _is_older(self, item: _Item) -> bool:
-        known = self.items.get(item.key) or self.removed.get(item.key)
+        known = self._find_known(item.key)
         return known is not None and known.revision > item.revision
 
     def _find_missing(self, changes: _changes.Changes) -> list[_Item]:
@@ -123,20 +199,60 @@
         ]
 
     def _merge(self, item: _Item) -> bool:
-        known = self.items.get(item.key) or self.removed.get(item.key)
+        """Merge one item and return whether observers are to get it."""
+        known = self._find_known(item.key)
         if known is not None and known.revision >= item.revision:
             return False
-        if item.value is not None:
-            self.items[item.key] = item
-            self.removed.pop(item.key, None)
-            return True
+        if known is not None and known.revision.epoch < item.revision.epoch:
+            self._retain(item)
+        last = self._find_last(item.key)
+        is_superseded = self.retained.supersedes(item)
         was_known = self.items.pop(item.key, None) is not None
         self.removed.pop(item.key, None)
-        self.removed[item.key] = item
+        if item.value is not None:
+            self.items[item.key] = item
+            return not is_superseded
+        self.removed[item.key] = _Removal(item, last)
         self._discard_oldest_removed()
-        return was_known
+        return was_known and not is_superseded
+
+    def _retain(self, item: _Item) -> None:
+        """Retain what is known of a key if the newer history holds something older."""
+        key = item.key
+        is_removed = key in self.removed
+        last = self._find_last(key)
+        if last is None or (last.value == item.value and not is_removed):
+            return
+        retained = _Retained(last, is_removed)
+        if self.retained.add(retained) and self.retained.supersedes(item):
+            _retained_items.log_retained([retained], "restore")
+
+    def _find_last(self, key: str) -> _Item | None:
+        """Return the last value that is known of ``key``, also if it was removed."""
+        retained = self.retained.get(key)
+        if retained is not None:
+            return retained.item
+        removal = self.removed.get(key)
+        return self.items.get(key) if removal is None else removal.last
+
+    def _takes(self, retained: _Retained) -> bool:
+        """Retain what a peer knows, if it is later than what this node does."""
+        key = retained.item.key
+        stored = self.items.get(key)
+        if retained.is_removed and self.released_epoch == self.revision.epoch:
+            return False
+        if stored is None and not self.versions.outlives_removal(key):
+            return False
+        if not self.retained.add(retained):
+            return False
+        return stored is None or self.retained.supersedes(stored)
+
+    def _make_effective(self, retained: _Retained) -> _Item:
+        """Return the change that observers get for a retained item."""
+        value = None if retained.is_removed else retained.item.value
+        return _Item(retained.item.key, self.revision, value)
 
     def _discard_oldest_removed(self) -> None:
         while len(self.removed) > self.max_removed:
             oldest = self.removed.pop(next(iter(self.removed)))
-            self.listed_at_revision = max(self.listed_at_revision, oldest.revision)
+            self.listed_at_revision = max(self.listed_at_revision, oldest.item.revision)
--- a/standins/mesh_site/_local_mesh_site.py
+++ b/standins/mesh_site/_local_mesh_site.py
@@ -46,7 +46,7 @@
         for name in HOSTS:
             self.start_node(name)
         for node in self.nodes.values():
-            node.wait_for("store answers")
+            node.wait_for("state compared with peers")
 
     def tell(self, command: str, **document: Any) -> Any:
         """Send an operator command to the stand-ins and return the answer."""
--- a/standins/store/_published_store.py
+++ b/standins/store/_published_store.py
@@ -10,7 +10,7 @@
 Answer = tuple[int, bytes]
 
 
-@attrs.define
+@attrs.define(slots=False)
 class PublishedStore:
     """Answers ``/kv-range`` and ``/kv-watch`` as the platform documents them.
 
--- a/tests/mesh/local_mesh.py
+++ b/tests/mesh/local_mesh.py
@@ -59,6 +59,7 @@
             lambda state: self.source,
         )
         self.parts = self.node.parts
+        self.parts.state.is_compared = True
         self.pool, self.target = local_node.FakePool(), local_node.FakeTarget()
         self.parts.pool = self.pool  # type: ignore[assignment]
         self.parts.target = self.target  # type: ignore[assignment]
--- a/tests/mesh/test_processes.py
+++ b/tests/mesh/test_processes.py
@@ -43,7 +43,7 @@
     answers = [node.ask("/get/1", f"r{number}")[0] for number in range(10)]
     assert answers == [200] * 10
     again = site.start_node("booth-1")
-    again.wait_for("store answers")
+    again.wait_for("state compared with peers")
     assert again.ask("/get/1", "after")[0] == 200
 
 
@@ -75,7 +75,7 @@
     site.nodes["booth-1"].process.wait(10)
     again = site.start_node("booth-1")
     assert again.wait_for("configuration in force")["version"] == 1
-    again.wait_for("instance listed")
+    again.wait_for("state compared with peers")
     assert again.ask("/get/1", "after")[0] == 200
 
 
--- a/tests/platform/test_store_reader.py
+++ b/tests/platform/test_store_reader.py
@@ -77,7 +77,7 @@
     def __init__(self, **changes: Any) -> None:
         self.reactor = task.Clock()
         self.store = store.PublishedStore(**changes)
-        self.state = published.PublishedState()
+        self.state = published.PublishedState(platform.PlatformDecoder())
         self.source = platform.StoreReader(
             self.reactor,
             reactor_clock.ReactorClock(self.reactor),
@@ -203,3 +203,129 @@
     world.source.stop()
     world.run(10.0)
     assert len(world.reader.paths) == asked
+
+
+def start_world(**changes: Any) -> World:
+    world = World(**changes)
+    for key in ("a", "b", "c"):
+        world.store.put(key, b"1")
+    world.source.start()
+    world.run()
+    return world
+
+
+BAD_EPOCHS = ["", "one", "-3", "1.5", "9" * 400, str(2**53 + 1), "0x2", "\u0662"]
+
+
+@pytest.mark.parametrize("epoch", BAD_EPOCHS)
+def test_an_answer_with_a_wrong_epoch_keeps_the_last_good_one(epoch: str) -> None:
+    world = start_world()
+    world.reader.headers = [("Store-Era", epoch)]
+    world.store.put("a", b"2")
+    world.run(1.0)
+    assert world.values()["a"] == b"2"
+    assert world.state.revision.epoch == 1
+    assert world.source.epoch_reader.malformed > 0
+
+
+def test_answers_without_an_epoch_are_of_the_last_history() -> None:
+    world = start_world()
+    world.reader.headers = [("Other", "1")]
+    world.store.put("a", b"2")
+    world.run(1.0)
+    assert world.values()["a"] == b"2"
+    assert world.state.revision == published.Revision(1, world.store.revision)
+
+
+def test_answers_of_an_older_history_change_nothing() -> None:
+    world = start_world()
+    world.store.restore(world.store.revision)
+    world.store.put("d", b"1")
+    world.run(1.0)
+    assert world.state.revision.epoch == 2
+    world.reader.headers = [("Store-Era", "1")]
+    world.store.put("a", b"2")
+    before = len(world.reader.paths)
+    world.run(20.0)
+    assert world.values()["a"] == b"1"
+    assert 10 < len(world.reader.paths) - before < 60
+    world.reader.headers = []
+    world.run(2.0)
+    assert world.values()["a"] == b"2"
+
+
+def test_one_wrong_header_does_not_lead_to_another_history() -> None:
+    """Guards against a fleet that rejects the store for the rest of its life."""
+    world = start_world()
+    world.reader.headers = [("Store-Era", "77")]
+    world.store.put("a", b"2")
+    world.reader.answer_waiting()
+    world.reader.headers = []
+    world.run(2.0)
+    assert world.values()["a"] == b"2"
+    assert world.state.revision == published.Revision(1, world.store.revision)
+
+
+def test_pages_of_two_histories_are_no_listing() -> None:
+    """Guards against a list of which one page is from before a restore."""
+    world = World(page_items=2)
+    for number in range(6):
+        world.store.put(f"k{number}", b"old")
+    copied_revision = world.store.revision
+    answer = world.store.answer
+
+    def restore_before_the_second_page(uri: str) -> Any:
+        if "after=k1" in uri and world.store.epoch == 1:
+            world.store.restore(copied_revision - 5)
+            world.store.put("k0", b"new")
+        return answer(uri)
+
+    world.store.answer = restore_before_the_second_page  # type: ignore[method-assign]
+    world.source.start()
+    world.run(2.0)
+    assert world.values() == {"k0": b"new"}
+    assert world.state.revision.epoch == 2
+
+
+@pytest.mark.parametrize("status", [503, 429, 410, 404])
+def test_an_answer_of_any_status_shows_a_restore(status: int) -> None:
+    world = start_world()
+    world.store.restore(world.store.revision - 1)
+    world.store.put("d", b"new")
+    failure = http_reads.HttpAnswer(
+        status, b"", http_headers.Headers({"Store-Era": ["2"]})
+    )
+    read = world.reader.waiting.pop()
+    read.timeout.cancel()
+    read.done.callback(result.Ok(failure))
+    world.run(1.0)
+    assert world.values() == {"a": b"1", "b": b"1", "d": b"new"}
+
+
+def test_a_history_that_peers_bring_is_watched_at_once_without_a_listing() -> None:
+    """Guards against a fleet whose nodes all list the store after a restore."""
+    world = start_world()
+    listings = len([path for path in world.reader.paths if "range" in path])
+    world.store.restore(world.store.revision - 1)
+    items = tuple(
+        published.PublishedItem(key, published.Revision(2, row["revision"]), b"1")
+        for key, row in world.store.items.items()
+    )
+    revision = published.Revision(2, world.store.revision)
+    world.state.apply(published.Changes(revision, items, True))
+    assert world.source.age_ms() == -1
+    world.store.put("c", b"new")
+    world.run(0.6)
+    assert world.values()["c"] == b"new"
+    assert world.source.age_ms() >= 0
+    assert len([p for p in world.reader.paths if "range" in p]) == listings
+
+
+def test_a_store_that_expires_each_history_is_not_listed_without_a_pause() -> None:
+    world = start_world()
+    before = len(world.reader.paths)
+    for _ in range(200):
+        world.store.history_from = world.store.revision + 1
+        world.run(0.02)
+        world.store.history_from = world.store.revision + 1
+    assert len(world.reader.paths) - before < 40
