Reject configurations whose routes lead nowhere or whose version is ambiguous

An invalid configuration was rejected only where a field had a wrong type: a route to a service that no cluster names, weights that are all 0, a timeout of 0 and versions like -1, 0x1f or 1_0 were taken.

--- a/src/jujubetiller/platform/_configuration.py
+++ b/src/jujubetiller/platform/_configuration.py
@@ -1,5 +1,6 @@
 """The format of the operator's configuration."""
 
+import re
 from typing import Any
 
 from jujubetiller import routes, schema
@@ -9,6 +10,8 @@
 
 HIGHEST_PRIORITY_CLASS = 2**20
 
+_VERSION = re.compile("[0-9A-Fa-f]{1,16}")
+
 _IS_IDEMPOTENT = {"idempotent": True, "non_idempotent": False}
 
 
@@ -19,7 +22,7 @@
     """
     listeners = _fields.read(document, "listeners", list)
     clusters = _fields.read(document, "clusters", list)
-    return routes.Configuration(
+    configuration = routes.Configuration(
         version=_translate_version(_fields.read_text(document, "version")),
         routes=tuple(
             _translate_rule(_fields.read_text(listener, "host"), rule)
@@ -29,15 +32,28 @@
         services=frozenset(_fields.read_text(each, "name") for each in clusters),
         bounds=_translate_limits(_fields.read(document, "limits", dict, {})),
     )
+    for route in configuration.routes:
+        _check_destinations(route, configuration.services)
+    return configuration
+
+
+def _check_destinations(route: routes.Route, services: frozenset[str]) -> None:
+    for destination in route.destinations:
+        if destination.service not in services:
+            raise schema.FieldError(
+                f"{route.name}.service",
+                f"allowed are the names in clusters, got {destination.service!r}",
+            )
+    if not any(destination.weight for destination in route.destinations):
+        raise schema.FieldError(f"{route.name}.weight", "one must be above 0")
 
 
 def _translate_version(text: str) -> int:
-    try:
-        return int(text, 16)
-    except ValueError:
+    if _VERSION.fullmatch(text) is None:
         raise schema.FieldError(
-            "version", f"allowed are hexadecimal digits, got {text!r}"
-        ) from None
+            "version", f"allowed are 1 to 16 hexadecimal digits, got {text!r:.80}"
+        )
+    return int(text, 16)
 
 
 def _translate_rule(host: str, rule: Any) -> routes.Route:
@@ -50,6 +66,8 @@
         allowed = ", ".join(_IS_IDEMPOTENT)
         raise schema.FieldError("kind", f"allowed are {allowed}, got {kind!r}")
     timeout_ms = _fields.read_duration_ms(action, "timeout")
+    if not timeout_ms:
+        raise schema.FieldError("timeout", "it must be above 0")
     return routes.Route(
         name=_fields.read_text(rule, "name"),
         host=host,
--- a/tests/platform/test_decoder.py
+++ b/tests/platform/test_decoder.py
@@ -111,7 +111,11 @@
         ("rule", "priority", 2**40),
         ("action", "timeout", "5 minutes"),
         ("action", "max_attempts", 0),
+        ("action", "timeout", "0ms"),
         ("action", "weighted_services", [{"service": "ledger"}]),
+        ("action", "weighted_services", [{"service": "ledger", "weight": 0}]),
+        ("action", "weighted_services", [{"service": "nowhere", "weight": 1}]),
+        ("action", "service", "nowhere"),
         ("action", "service", None),
     ],
 )
@@ -130,6 +134,16 @@
     assert DECODER.decode_configuration(make_item("op/config", document)).is_err()
 
 
+@pytest.mark.parametrize(
+    "version", [None, "", "-1", "0x1f", "1_0", " 1", "1f\n", "g", "1" * 17, 12]
+)
+def test_a_wrong_version_is_named(version: Any) -> None:
+    """Guards against a number that other nodes read as another version."""
+    document = documents.encode(documents.CONFIGURATION, version=version)
+    decoded = DECODER.decode_configuration(make_item("op/config", document))
+    assert decoded.unwrap_err().field == "op/config.version"
+
+
 def test_settings_are_read_and_unknown_fields_are_ignored() -> None:
     loaded = platform.load_settings(documents.SETTINGS.encode()).unwrap()
     assert loaded.node == "sidecar-a-1"
