Take no response without the request's id for a later request's

Operators of similar systems told: an instance wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for a request that ran. Change: on the platform, where instances repeat the id in all answers, a response without it is taken only as the first on its connection. A failure without the id ends the connection on both interfaces, so that a second copy has none to arrive on; targets of the own interface that never repeat it keep their connections after successes.

--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -144,6 +144,7 @@
                 time_source,
                 node_settings.target,
                 close_ends_answer=True,
+                requires_echo=True,
             ),
             budget=_retry_budget.RetryBudget(
                 time_source, node_settings.repeats, lambda: directory.node_count
--- a/src/jujubetiller/target/_target_client.py
+++ b/src/jujubetiller/target/_target_client.py
@@ -29,6 +29,7 @@
         time_source: clock.Clock,
         target_settings: settings.TargetSettings,
         close_ends_answer: bool = False,
+        requires_echo: bool = False,
     ) -> None:
         self.reactor = reactor
         self.clock = time_source
@@ -38,9 +39,15 @@
         connection without a reset. If false, such a request ends with an unknown
         outcome."""
 
+        self.requires_echo = requires_echo
+        """Whether the target repeats the echo value in all its responses. One without
+        it is then accepted only as the first response on a connection, because later
+        it may be a second copy of an earlier one."""
+
         self.statistics = _target_statistics.TargetStatistics()
         self.memory = _held_memory.HeldMemory()
         self.idle: list[_target_connection.TargetConnection] = []
+        self.open: set[_target_connection.TargetConnection] = set()
 
     def send(
         self,
@@ -101,6 +108,7 @@
         self, connection: _target_connection.TargetConnection
     ) -> None:
         """Remove a closed connection from the pool."""
+        self.open.discard(connection)
         if connection in self.idle:
             self.idle.remove(connection)
 
@@ -125,6 +133,11 @@
                 self.statistics.idle_discarded += 1
                 idle.close()
 
+    def fail_calls(self) -> None:
+        """End all calls that the target may be running, with an unknown outcome."""
+        for connection in tuple(self.open):
+            connection.fail(codes.ResultCode.TARGET_CLOSED_EARLY)
+
     def close(self) -> None:
         """Close all idle connections."""
         for connection in tuple(self.idle):
--- a/src/jujubetiller/target/_target_connection.py
+++ b/src/jujubetiller/target/_target_connection.py
@@ -7,7 +7,7 @@
 from twisted.internet import error, protocol
 from twisted.python import failure
 
-from jujubetiller import codes, transports
+from jujubetiller import calls, codes, transports
 from jujubetiller.target import (
     _response_size,
     _target_call,
@@ -59,6 +59,7 @@
         self.keep_alive = False
         self.status = 0
         self.echoed: str | None = None
+        self.requests_sent = 0
         self.recent_echoes: tuple[str, ...] = ()
         """The echo values of the latest requests on this connection."""
 
@@ -73,6 +74,7 @@
         """Send the call that the connection was opened for, unless it has ended."""
         self.is_open = True
         self.client.statistics.connections_opened += 1
+        self.client.open.add(self)
         assert self.transport is not None
         self.transport.setTcpNoDelay(True)  # type: ignore[attr-defined]
         if self.first_call.ended:
@@ -85,6 +87,7 @@
         self.call = call
         call.connection = self
         call.sent_at_ms = self.client.clock.now_ms()
+        self.requests_sent += 1
         self.received_any = False
         self.is_complete = False
         if call.request.echo is not None:
@@ -171,10 +174,23 @@
             self.reuse_ms = int(found.group(1)) * 1000.0 * _REUSE_SHARE
 
     def belongs_to_another_request(self) -> bool:
-        """Return whether the response echoes a value that differs from the one sent."""
+        """Return whether the response may be a second copy of an earlier one."""
         if self.call is None or self.call.request.echo is None:
             return False
-        return self.echoed is not None and self.echoed != self.call.request.echo[1]
+        if self.echoed is None:
+            return self.client.requires_echo and self.requests_sent > 1
+        return self.echoed != self.call.request.echo[1]
+
+    def may_be_repeated(self) -> bool:
+        """Return whether a second copy could be taken for a later response.
+
+        That is so for a response without the echo value. Targets that never repeat it
+        keep their connections after successes.
+        """
+        if self.call is None or self.call.request.echo is None:
+            return False
+        is_failure = self.status >= calls.LOWEST_FAILURE_STATUS
+        return self.echoed is None and (self.client.requires_echo or is_failure)
 
     def on_headers_complete(self) -> None:
         """Complete a response to HEAD, which has no body even with a Content-Length."""
@@ -206,7 +222,7 @@
             self.reset_response()
             return
         self.is_complete = True
-        self.keep_alive = self.parser.should_keep_alive()
+        self.keep_alive = self.parser.should_keep_alive() and not self.may_be_repeated()
 
     def finish(self) -> None:
         """Deliver the complete response and keep or close the connection."""
--- a/tests/target/test_failing_targets.py
+++ b/tests/target/test_failing_targets.py
@@ -115,3 +115,82 @@
     connection.dataReceived(b"HTTP/1.1 200 OK\r\n" + b"a: b\r\n" * 300 + b"\r\n")
     assert harness.codes() == [_Code.ANSWER_TOO_LARGE]
     assert connection.transport.disconnected
+
+
+REFUSAL = b"HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 4\r\n"
+REPEATED_REFUSALS = {
+    "with its id": b"X-Id: earlier\r\n\r\nfull",
+    "without an id": b"\r\nfull",
+}
+
+
+@pytest.mark.parametrize("requires_echo", [True, False], ids=["mesh", "own interface"])
+@pytest.mark.parametrize("moment", ["idle", "sent", "with the answer"])
+@pytest.mark.parametrize("name", REPEATED_REFUSALS)
+def test_a_refusal_that_is_written_again_ends_no_later_request(
+    name: str, moment: str, requires_echo: bool
+) -> None:
+    """Guards against a request that runs, but is reported as not run."""
+    harness = test_target_client.Harness()
+    harness.client.requires_echo = requires_echo
+    refusal = REFUSAL + REPEATED_REFUSALS[name]
+    send(harness, "earlier")
+    first = harness.accept()
+    first.dataReceived(refusal)
+    if moment == "idle" and not first.transport.disconnected:
+        first.dataReceived(refusal)
+    send(harness, "later")
+    used = first
+    if len(harness.reactor.tcpClients) == 2:
+        assert first.transport.disconnected, "nothing more is read from it"
+        used = harness.accept()
+    elif moment == "sent":
+        first.dataReceived(refusal)
+    before = refusal if moment == "with the answer" and used is first else b""
+    used.dataReceived(before + test_target_client.response_with_id("later", b"own"))
+    assert [one.body for one in harness.responses] == [b"full", b"own"]
+
+
+def test_a_repeated_refusal_without_an_id_is_not_taken_after_other_answers() -> None:
+    """Guards against the copy of a refusal that was not the first on its connection."""
+    harness = test_target_client.Harness()
+    harness.client.requires_echo = True
+    send(harness, "first")
+    connection = harness.accept()
+    connection.dataReceived(test_target_client.response_with_id("first", b"own"))
+    send(harness, "second")
+    connection.dataReceived(REFUSAL + b"\r\nfull")
+    assert len(harness.responses) == 1
+    connection.dataReceived(test_target_client.response_with_id("second", b"own"))
+    assert [one.body for one in harness.responses] == [b"own", b"own"]
+
+
+HEADS = {
+    "with a length": b"HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 9\r\n\r\n",
+    "in chunks": b"HTTP/1.1 200 OK\r\nX-Id: own\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "after an interim one": INTERIM + b"HTTP/1.1 200 OK\r\nX-Id: own\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("closes", [True, False], ids=["mesh", "own interface"])
+@pytest.mark.parametrize("is_kept", [True, False], ids=["kept", "new"])
+@pytest.mark.parametrize("name", HEADS)
+def test_a_head_that_ends_early_is_no_response(
+    name: str, is_kept: bool, closes: bool
+) -> None:
+    """Guards against an empty answer that looks whole."""
+    head = HEADS[name]
+    for length in range(1, len(head)):
+        harness = test_target_client.Harness()
+        harness.client.close_ends_answer = closes
+        connection = None
+        if is_kept:
+            send(harness, "before")
+            connection = harness.accept()
+            connection.dataReceived(test_target_client.response_with_id("before"))
+        send(harness, "own")
+        connection = connection or harness.accept()
+        connection.dataReceived(head[:length])
+        harness.close_connection(connection)
+        code = harness.codes()[-1]
+        assert codes.describe(code).outcome is codes.Outcome.UNKNOWN, head[:length]
