Refuse what cannot end in the rest of the grace, and answer what is cut

Operators of similar systems told: requests that came late in the grace of a planned stop were passed on and cut without an answer. Here a node took everything for 3.0 s, and from kept connections with a request under way up to its end, whatever the request needed; at 5.4 s it closed what was left. Change: a stopping node refuses at once as not run what needs more than is left (three times the usual duration, or the latency objective before that is known), from clients and from peers, which send it elsewhere. What the target still runs at the end gets an answer that promises nothing.

--- a/src/jujubetiller/mesh/_drain.py
+++ b/src/jujubetiller/mesh/_drain.py
@@ -8,16 +8,16 @@
 
 _LOG = logbook.Logger("jujubetiller.mesh")
 
-ACCEPT_CLIENTS_MS = 3_000.0
-"""New requests are accepted for this long: clients detect the stop by two failed
-readiness checks, a second apart."""
+ACCEPT_CLIENTS_SHARE = 0.5
+"""Part of the grace period in which connections are accepted: clients detect the stop
+by two failed readiness checks, a second apart."""
 
-ACCEPT_PEERS_MS = 2_400.0
-"""Calls from peers are accepted for this long, which is shorter than the time for
-clients, so that they end while clients are still served."""
+ACCEPT_PEERS_SHARE = 0.4
+"""Part of the grace period in which peers send calls, which is shorter than the one for
+clients, so that calls end while clients are still served."""
 
-END_MARGIN_MS = 600.0
-"""The process exits this long before the platform would kill it."""
+END_MARGIN_SHARE = 0.1
+"""The process exits this part of the grace period before the platform would kill it."""
 
 POLL_MS = 20.0
 
@@ -52,8 +52,13 @@
         _LOG.info("draining", extra={"in_flight": self.count_in_flight()})
         self.started_at_ms = self.parts.clock.now_ms()
         self.parts.state.draining = True
+        self.parts.state.ends_at_ms = self.started_at_ms + self.find_end_ms()
         self.poll()
 
+    def find_end_ms(self) -> float:
+        """Return the time from the start of the drain to the end of the process."""
+        return self.parts.settings.grace_ms * (1.0 - END_MARGIN_SHARE)
+
     def count_in_flight(self) -> int:
         """Return the number of clients' requests and calls for the target in flight."""
         guard = self.parts.guard
@@ -63,13 +68,15 @@
     def poll(self) -> None:
         """Close the node once nothing is in flight or the grace period is over."""
         elapsed_ms = self.parts.clock.now_ms() - self.started_at_ms
-        if elapsed_ms >= ACCEPT_PEERS_MS and not self.parts.state.refuses_peers:
+        grace_ms = self.parts.settings.grace_ms
+        refuses_peers_ms = ACCEPT_PEERS_SHARE * grace_ms
+        if elapsed_ms >= refuses_peers_ms and not self.parts.state.refuses_peers:
             self.parts.state.refuses_peers = True
             self.parts.pool.announce_draining()
-        if elapsed_ms >= ACCEPT_CLIENTS_MS and self.is_listening:
+        if elapsed_ms >= ACCEPT_CLIENTS_SHARE * grace_ms and self.is_listening:
             self.stop_listening()
         in_flight = self.count_in_flight()
-        is_overdue = elapsed_ms >= self.parts.settings.grace_ms - END_MARGIN_MS
+        is_overdue = elapsed_ms >= self.find_end_ms()
         if is_overdue or (in_flight == 0 and not self.is_listening):
             self.close(in_flight)
         else:
@@ -92,10 +99,11 @@
         if left_over:
             self.parts.metrics.count_drain_leftovers(left_over)
             _LOG.warning("drain time is over", extra={"in_flight": left_over})
+            # Callers get an answer that promises nothing, not a closed connection.
+            self.parts.target.fail_calls()
         self.parts.target.close()
         elapsed_ms = self.parts.clock.now_ms() - self.started_at_ms
-        end_ms = self.parts.settings.grace_ms - END_MARGIN_MS
-        left_ms = max(FLUSH_MS, min(MAX_FLUSH_MS, end_ms - elapsed_ms))
+        left_ms = max(FLUSH_MS, min(MAX_FLUSH_MS, self.find_end_ms() - elapsed_ms))
         closing = streams.close_within(self.parts.reactor, self.parts.pool, left_ms)
         closing.addCallback(
             lambda _: self.finish(left_over, self.parts.clock.now_ms() + FLUSH_MS)
--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -100,6 +100,9 @@
     def start(self) -> None:
         """Make the first attempt, unless the route's throttle refuses the request."""
         self.parts.state.requests_under_way += 1
+        if not self.parts.can_finish(self.find_needed_ms()):
+            self.finish(calls.make_refusal(_Code.DRAINING))
+            return
         if not self.throttle.admits():
             self.parts.throttles.refused += 1
             self.finish(calls.make_refusal(_Code.OVERLOADED_DOWNSTREAM))
@@ -125,6 +128,13 @@
         self.instance = chosen.ok_value
         self.send(chosen.ok_value)
 
+    def find_needed_ms(self) -> float:
+        """Return a high estimate of the time that the request takes."""
+        usual_ms = self.parts.router.average_ms(self.service, self.route.name)
+        if usual_ms is None:
+            return self.route.latency_objective_ms
+        return _mesh_parts.FINISH_FACTOR * usual_ms
+
     def is_urgent(self) -> bool:
         """Return whether the request goes before others when instances lack room."""
         return self.route.priority_class == 0 or self.throttle.exempt
--- a/src/jujubetiller/mesh/_ingress_call.py
+++ b/src/jujubetiller/mesh/_ingress_call.py
@@ -49,6 +49,10 @@
 
     def begin(self) -> None:
         """Submit the call to the guard, which starts or queues it."""
+        needed_ms = _mesh_parts.FINISH_FACTOR * self.parts.guard.mean_run_ms
+        if not self.parts.can_finish(needed_ms):
+            self.refuse(_Code.DRAINING)
+            return
         caller = find_header(self.request.headers, self.parts.headers.caller_service)
         self.parts.callers.record(self.request.kind, caller or "")
         self.parts.notices.adopt_limit(
--- a/src/jujubetiller/mesh/_mesh_parts.py
+++ b/src/jujubetiller/mesh/_mesh_parts.py
@@ -28,6 +28,10 @@
     from jujubetiller.mesh import _peer_prober
 
 
+FINISH_FACTOR = 3.0
+"""A call is taken to need this many times its usual duration at most."""
+
+
 @attrs.define
 class MeshParts:
     """The components of one node.
@@ -56,6 +60,13 @@
     pool: streams.StreamPool = attrs.field(init=False)
     prober: "_peer_prober.PeerProber" = attrs.field(init=False)
 
+    def can_finish(self, needed_ms: float) -> bool:
+        """Return whether a call that needs ``needed_ms`` ends before the node stops."""
+        ends_at_ms = self.state.ends_at_ms
+        if ends_at_ms is None:
+            return True
+        return needed_ms <= ends_at_ms - self.clock.now_ms()
+
     def is_ready(self) -> bool:
         """Return whether the node can route requests as its peers do."""
         return (
--- a/src/jujubetiller/mesh/_mesh_state.py
+++ b/src/jujubetiller/mesh/_mesh_state.py
@@ -11,6 +11,9 @@
     refuses_peers: bool = False
     """Whether peers have been notified to send no more calls."""
 
+    ends_at_ms: float | None = None
+    """When a draining node stops at the latest; ``None`` before it drains."""
+
     is_compared: bool = False
     """Whether the node has compared its published state with peers since its start."""
 
--- a/tests/mesh/test_drain.py
+++ b/tests/mesh/test_drain.py
@@ -3,8 +3,10 @@
 from typing import Any
 
 import attrs
+import pytest
 from twisted.internet import defer
 
+from jujubetiller import codes
 from jujubetiller.mesh import _drain, _status_sites
 from tests.mesh import local_mesh
 
@@ -120,3 +122,73 @@
     node.advance(5.99)
     assert node.left_over == [1]
     assert node.aborted == 1
+
+
+LATE_CASES = [
+    ("at once", 0.1, 200.0, True),
+    ("before clients have detected the stop", 2.9, 200.0, True),
+    ("too long for what is left", 2.9, 1_000.0, False),
+    ("on a kept connection", 4.0, 200.0, True),
+    ("on a kept connection, too long", 4.0, 600.0, False),
+    ("short, in the last fifth", 4.9, 50.0, True),
+    ("in the last fifth", 4.9, 200.0, False),
+    ("of unknown duration, in the last fifth", 4.9, None, False),
+]
+
+
+@pytest.mark.parametrize("path", ["/book/1", "/read/1"])
+@pytest.mark.parametrize(("case", "at_s", "usual_ms", "is_accepted"), LATE_CASES)
+def test_a_request_that_cannot_end_before_the_stop_is_refused_at_once(
+    case: str, at_s: float, usual_ms: float | None, is_accepted: bool, path: str
+) -> None:
+    """Guards against a request that is passed on and cut at the end of the grace."""
+    node = DrainingNode()
+    parts: Any = node.mesh.parts
+    parts.router.average_ms = lambda service, kind: usual_ms
+    node.drain.start()
+    node.advance(at_s)
+    node.mesh.send_request(path)
+    passed_on = len(node.mesh.pool.calls) + len(node.mesh.target.requests)
+    assert passed_on == is_accepted, case
+    assert [reply.status for reply in node.mesh.replies] == [503] * (not is_accepted)
+    for reply in node.mesh.replies:
+        assert "Retry-After" in dict(reply.headers)
+        assert b"DRAINING" in reply.body
+
+
+@pytest.mark.parametrize(("run_ms", "is_accepted"), [(200.0, True), (2_000.0, False)])
+def test_a_call_of_a_peer_that_cannot_end_before_the_stop_is_refused(
+    run_ms: float, is_accepted: bool
+) -> None:
+    node = DrainingNode()
+    node.mesh.parts.guard.mean_run_ms = run_ms
+    node.drain.start()
+    node.advance(2.3)
+    node.mesh.receive_call()
+    assert len(node.mesh.target.requests) == is_accepted
+    codes_ = [answer.code for answer in node.mesh.answers]
+    assert codes_ == [codes.ResultCode.DRAINING] * (not is_accepted)
+
+
+def test_a_request_at_work_at_the_end_of_the_grace_is_answered() -> None:
+    """Guards against a closed connection in place of an answer."""
+    node = DrainingNode()
+    parts: Any = node.mesh.parts
+    parts.configuration.choose_service = lambda route: "ledger"
+    node.mesh.send_request("/book/1")
+    assert len(node.mesh.target.requests) == 1
+    node.drain.start()
+    node.advance(5.5)
+    assert [reply.status for reply in node.mesh.replies] == [502]
+
+
+def test_the_times_of_a_stop_follow_the_grace_of_the_settings() -> None:
+    """Guards against a node that listens until it is killed."""
+    node = DrainingNode()
+    node.mesh.parts.settings = attrs.evolve(node.mesh.parts.settings, grace_ms=2_000)
+    node.drain.start()
+    node.advance(0.9)
+    assert node.announced == 1
+    assert node.port.is_open
+    node.advance(0.2)
+    assert not node.port.is_open
--- a/tests/node/local_node.py
+++ b/tests/node/local_node.py
@@ -113,6 +113,11 @@
     def close(self) -> None:
         """Do nothing, because there are no connections."""
 
+    def fail_calls(self) -> None:
+        """End the calls that have no response."""
+        for request in self.requests:
+            request.on_end(target.TargetResponse(codes.ResultCode.TARGET_CLOSED_EARLY))
+
 
 class LocalNode:
     """A ready node of the service ledger that knows two instances of booth."""
