Order values of the own platform by its history, then by version

Change: answers name the epoch of the platform's history, a watch tells the one it knows, and published.Revision orders values. Tickets keep their own order, by number, so nobody reverts. The version of a VM list between nodes is the revision's rank, one number.

--- a/src/jujubetiller/platform_client/_platform_client.py
+++ b/src/jujubetiller/platform_client/_platform_client.py
@@ -6,15 +6,18 @@
 from typing import Any
 from urllib import parse
 
+import logbook
 import result
 from twisted.internet import defer, interfaces
 from twisted.web import iweb
 
-from jujubetiller import clock, http_reads, settings
+from jujubetiller import clock, http_reads, published, settings
 from jujubetiller.platform_client import _platform_value, _watch
 
 MAX_VERSIONS = 1_000
 
+_LOG = logbook.Logger("jujubetiller.platform_client")
+
 Answer = result.Result[_platform_value.PlatformValue, http_reads.ReadProblem]
 
 _STATUS_PROBLEMS: dict[int, http_reads.ReadProblem] = {
@@ -51,7 +54,7 @@
         self.random = random_source
         self.on_fresh = on_fresh
         self.reader = http_reads.HttpReader(reactor, platform_settings.address, agent)
-        self.versions: dict[str, int] = {}
+        self.revisions: dict[str, published.Revision] = {}
         self.fresh_at_ms: float | None = None
         self.counts: collections.Counter[str] = collections.Counter()
         """Count of answers by kind: ``value``, the values of ``ReadProblem`` and
@@ -70,35 +73,46 @@
     def watch(
         self,
         key: str,
-        after: int,
+        after: published.Revision,
         on_value: Callable[[_platform_value.PlatformValue], None],
         period_ms: Callable[[], float] | None = None,
     ) -> _watch.Watch:
-        """Call ``on_value`` for each newer version until the watch is stopped.
+        """Call ``on_value`` for each version after ``after`` until it is stopped.
 
         ``period_ms`` returns the minimum time from one request to the next; it applies
         when it is above ``watch_wait_ms``.
         """
-        self.versions[key] = max(after, self.versions.get(key, 0))
+        self.revisions[key] = max(after, self.newest_revision(key))
         return _watch.Watch(self, key, on_value, period_ms)
 
-    def request_watch(self, key: str, after: int) -> defer.Deferred[Answer]:
-        """Send one long-poll request for a version above ``after``."""
+    def newest_revision(self, key: str) -> published.Revision:
+        """Return the newest revision received of ``key``."""
+        return self.revisions.get(key, published.Revision())
+
+    def request_watch(
+        self, key: str, after: published.Revision
+    ) -> defer.Deferred[Answer]:
+        """Send one long-poll request for a version after ``after``.
+
+        The platform answers at once if it is in a newer history.
+        """
         # The jitter keeps readers from polling in step. Its mean is 1, so that the
         # total request rate of all nodes is as planned.
         jitter = 1 + _watch.WAIT_JITTER * (2 * self.random.random() - 1)
         wait_ms = int(self.settings.watch_wait_ms * jitter)
-        query = f"after={after}&wait_ms={wait_ms}"
+        query = f"after={after.number}&epoch={after.epoch}&wait_ms={wait_ms}"
         return self.request(f"/v1/watch/{parse.quote(key)}?{query}", key)
 
-    def accept_version(self, key: str, version: int) -> bool:
-        """Return whether ``version`` is not older than the newest one received."""
-        newest = self.versions.get(key)
-        if newest is not None and version < newest:
+    def accept_revision(self, key: str, revision: published.Revision) -> bool:
+        """Return whether ``revision`` is not older than the newest one received."""
+        newest = self.revisions.get(key)
+        if newest is not None and revision < newest:
             self.counts["older-version"] += 1
             return False
-        if newest is not None or len(self.versions) < MAX_VERSIONS:
-            self.versions[key] = version
+        if newest is not None and revision.epoch > newest.epoch:
+            _LOG.info("platform history read", extra={"revision": str(revision)})
+        if newest is not None or len(self.revisions) < MAX_VERSIONS:
+            self.revisions[key] = revision
         return True
 
     def request(self, path: str, key: str) -> defer.Deferred[Answer]:
@@ -128,7 +142,7 @@
             return
         self.counts["value"] += 1
         value = answer.ok_value
-        if value.version >= self.versions.get(value.key, 0):
+        if value.revision >= self.newest_revision(value.key):
             self._record_fresh()
 
     def _record_fresh(self) -> None:
--- a/src/jujubetiller/platform_client/_platform_value.py
+++ b/src/jujubetiller/platform_client/_platform_value.py
@@ -5,7 +5,7 @@
 import attrs
 import result
 
-from jujubetiller import codes, http_reads, schema
+from jujubetiller import codes, http_reads, published, schema
 
 MAX_VALUE_BYTES = 1_000_000
 
@@ -27,6 +27,15 @@
     version: int
     value: Any
 
+    epoch: int = 0
+    """Number of the platform's history; it increases when the platform is restored from
+    a copy, after which it gives out versions again."""
+
+    @property
+    def revision(self) -> published.Revision:
+        """The order of this value among all values of its key."""
+        return published.Revision(self.epoch, self.version)
+
 
 def parse_value(
     body: bytes, key: str
@@ -37,9 +46,17 @@
     if (
         not isinstance(document, dict)
         or document.get("key") != key
-        or type(document.get("version")) is not int
-        or document["version"] < 0
+        or not _is_number(document.get("version"))
+        or not _is_number(document.get("epoch", 0))
         or "value" not in document
     ):
         return result.Err(http_reads.ReadProblem.BAD_ANSWER)
-    return result.Ok(PlatformValue(key, document["version"], document["value"]))
+    return result.Ok(
+        PlatformValue(
+            key, document["version"], document["value"], document.get("epoch", 0)
+        )
+    )
+
+
+def _is_number(value: Any) -> bool:
+    return type(value) is int and 0 <= value <= published.MAX_NUMBER
--- a/src/jujubetiller/platform_client/_ticket_reader.py
+++ b/src/jujubetiller/platform_client/_ticket_reader.py
@@ -7,7 +7,7 @@
 import result
 from twisted.internet import interfaces
 
-from jujubetiller import http_reads, tickets
+from jujubetiller import http_reads, published, tickets
 from jujubetiller.platform_client import (
     _platform_client,
     _platform_value,
@@ -50,7 +50,7 @@
         self.fetch_delay_ms = fetch_delay_ms
         self.objects: dict[str, int] = {}
         """The newest valid index: for each object, the last ticket that changed it."""
-        self.index_version = 0
+        self.index_revision = published.Revision()
         self.fetching: set[int] = set()
         self.finished: dict[int, None] = {}
         """Numbers of tickets that were read. They are not fetched again, because a
@@ -70,7 +70,7 @@
         """Start to watch the index; no effect when the reader is running."""
         if self.watch is None:
             self.watch = self.platform.watch(
-                INDEX_KEY, self.index_version, self._receive_index, self.period_ms
+                INDEX_KEY, self.index_revision, self._receive_index, self.period_ms
             )
             # An index received before a stop may list tickets not fetched yet.
             self._fetch_after(0.0)
@@ -96,7 +96,7 @@
                 value.version,
             )
             return
-        self.index_version = value.version
+        self.index_revision = value.revision
         self.objects = dict(objects)
         self._fetch_after(self.fetch_delay_ms())
 
--- a/src/jujubetiller/platform_client/_vm_list_reader.py
+++ b/src/jujubetiller/platform_client/_vm_list_reader.py
@@ -6,7 +6,7 @@
 import result
 from twisted.internet import interfaces
 
-from jujubetiller import codes, membership
+from jujubetiller import codes, membership, published
 from jujubetiller.platform_client import (
     _listed_instance,
     _platform_client,
@@ -48,7 +48,7 @@
         self.known_zones = known_zones
         self.on_list = on_list
         self.period_ms = period_ms
-        self.version = 0
+        self.revision = published.Revision()
         self.watch: _watch.Watch | None = None
         self.timer: interfaces.IDelayedCall | None = None
         self.read_zones: set[str] = set()
@@ -63,7 +63,7 @@
         """Start to watch the list; no effect when the reader is running."""
         if self.watch is None:
             self.watch = self.platform.watch(
-                f"vms/{self.own_zone}", self.version, self._receive, self.period_ms
+                f"vms/{self.own_zone}", self.revision, self._receive, self.period_ms
             )
             self._check_zones_after(UNKNOWN_ZONE_PAUSE_MS)
 
@@ -76,7 +76,7 @@
             self.timer.cancel()
 
     def _receive(self, value: _platform_value.PlatformValue) -> None:
-        self.version = value.version
+        self.revision = value.revision
         self._handle_list(value, self.own_zone)
 
     def _handle_list(self, value: _platform_value.PlatformValue, zone: str) -> None:
@@ -84,7 +84,7 @@
         if isinstance(parsed, result.Err):
             self._report_invalid(value, parsed.err_value)
             return
-        self.on_list(zone, parsed.ok_value, value.version)
+        self.on_list(zone, parsed.ok_value, value.revision.rank)
 
     def _report_invalid(
         self, value: _platform_value.PlatformValue, problem: codes.Problem
--- a/src/jujubetiller/platform_client/_watch.py
+++ b/src/jujubetiller/platform_client/_watch.py
@@ -49,7 +49,7 @@
 
     def _poll(self) -> None:
         self.polled_at_ms = self.platform.clock.now_ms()
-        after = self.platform.versions.get(self.key, 0)
+        after = self.platform.newest_revision(self.key)
         pending = self.platform.request_watch(self.key, after)
         self.waiting = pending  # type: ignore[assignment]
         pending.addBoth(self._receive)
@@ -61,10 +61,10 @@
         is_new = False
         delay_ms: float | None = None
         if isinstance(answer, result.Ok):
-            newest = self.platform.versions.get(self.key, 0)
-            version = answer.ok_value.version
+            newest = self.platform.newest_revision(self.key)
+            revision = answer.ok_value.revision
             is_new = (
-                self.platform.accept_version(self.key, version) and version > newest
+                self.platform.accept_revision(self.key, revision) and revision > newest
             )
         elif not (
             isinstance(answer, result.Err)
--- a/src/jujubetiller/published/_revision.py
+++ b/src/jujubetiller/published/_revision.py
@@ -5,6 +5,8 @@
 MAX_NUMBER = 2**53
 """The store sends JSON numbers, which are exact up to here."""
 
+_NUMBERS_PER_EPOCH = 2**32
+
 
 @attrs.frozen(order=True)
 class Revision:
@@ -21,5 +23,15 @@
     number: int = 0
     """Number of the change in its history; it increases across all keys."""
 
+    @property
+    def rank(self) -> int:
+        """A number that orders revisions as they are, for fields that hold one number.
+
+        It is exact for epochs below 2**21 and numbers below 2**32.
+        """
+        return self.epoch * _NUMBERS_PER_EPOCH + min(
+            self.number, _NUMBERS_PER_EPOCH - 1
+        )
+
     def __str__(self) -> str:
         return f"{self.epoch}:{self.number}"
--- a/standins/platform/_value_site.py
+++ b/standins/platform/_value_site.py
@@ -68,15 +68,21 @@
         self.send(
             request,
             web_http.OK,
-            {"key": key, "version": stored.version, "value": stored.value},
+            {
+                "key": key,
+                "version": stored.version,
+                "value": stored.value,
+                "epoch": self.store.epoch,
+            },
         )
 
     def watch(self, request: server.Request, key: str) -> None:
         """Answer once ``key`` is newer than version ``after``, or after ``wait_ms``."""
         after = int(http.read_argument(request, "after", "0"))
+        epoch = int(http.read_argument(request, "epoch", "0"))
         wait_ms = float(http.read_argument(request, "wait_ms", "1500"))
         stored = self.read(key)
-        if stored is None or stored.version > after:
+        if stored is None or (self.store.epoch, stored.version) > (epoch, after):
             self.answer(request, key)
             return
         self.waiting += 1
@@ -89,7 +95,9 @@
 
         def changed() -> None:
             newest = self.read(key)
-            if newest is not None and newest.version > after:
+            if newest is None:
+                return
+            if (self.store.epoch, newest.version) > (epoch, after):
                 end()
                 self.answer(request, key)
 
--- a/standins/platform/_value_store.py
+++ b/standins/platform/_value_store.py
@@ -23,6 +23,9 @@
 
     def __init__(self) -> None:
         self.version = 0
+        self.epoch = 0
+        """Number of the store's history, which rises with each restore."""
+
         self.history: dict[str, deque[StoredValue]] = {}
         self.frozen: dict[str, StoredValue] | None = None
         self.listeners: dict[str, set[Callable[[], None]]] = {}
@@ -38,6 +41,22 @@
             listener()
         return self.version
 
+    def restore(self, version: int) -> None:
+        """Return to the state as of ``version``, as after a restore from a copy.
+
+        The versions after it are given out again.
+        """
+        for key, versions in tuple(self.history.items()):
+            kept = [stored for stored in versions if stored.version <= version]
+            self.history[key] = deque(kept, maxlen=HISTORY_LENGTH)
+            if not kept:
+                del self.history[key]
+        self.version = version
+        self.epoch += 1
+        for listeners in tuple(self.listeners.values()):
+            for listener in tuple(listeners):
+                listener()
+
     def newest(self, key: str) -> Any:
         """Return the newest value of ``key``, or None."""
         return self.history[key][-1].value if key in self.history else None
--- a/tests/platform_client/test_platform_client.py
+++ b/tests/platform_client/test_platform_client.py
@@ -12,7 +12,7 @@
 from twisted.test import iosim
 from twisted.web import client, resource, server
 
-from jujubetiller import platform_client, settings, tickets
+from jujubetiller import platform_client, published, settings, tickets
 from tests import reactor_clock
 
 ADDRESS = settings.Address("127.0.0.1", 1)
@@ -170,7 +170,7 @@
 def test_a_platform_that_is_down_is_polled_with_backoff() -> None:
     simulation = Simulation()
     simulation.is_down = True
-    simulation.client.watch("k", 0, lambda value: None)
+    simulation.client.watch("k", published.Revision(0, 0), lambda value: None)
     simulation.run(60_000)
     assert 8 <= simulation.client.counts["unreachable"] <= 20
     assert simulation.client.age_ms() == -1
@@ -180,7 +180,7 @@
 def test_a_watch_backs_off_from_refusals_and_recovers(status: int) -> None:
     simulation = Simulation()
     values: list[Any] = []
-    simulation.client.watch("k", 0, values.append)
+    simulation.client.watch("k", published.Revision(0, 0), values.append)
     simulation.platform.status = status
     simulation.run(30_000)
     assert len(simulation.platform.requests) <= 15
@@ -203,7 +203,7 @@
     simulation = Simulation(silent_ms)
     values: list[Any] = []
     simulation.platform.values["k"] = (1, "old")
-    simulation.client.watch("k", 0, values.append)
+    simulation.client.watch("k", published.Revision(0, 0), values.append)
     simulation.run(100)
     simulation.platform.silent_connections.update(simulation.channels)
     simulation.platform.waiting.clear()
@@ -219,7 +219,9 @@
     simulation = Simulation()
     values: list[int] = []
     simulation.platform.values["k"] = (5, "x")
-    watch = simulation.client.watch("k", 0, lambda value: values.append(value.version))
+    watch = simulation.client.watch(
+        "k", published.Revision(0, 0), lambda value: values.append(value.version)
+    )
     simulation.run(100)
     simulation.platform.publish("k", 4, "stale")
     simulation.run(100)
@@ -229,7 +231,9 @@
     assert simulation.client.counts["older-version"] >= 1
     watch.stop()
     asked = len(simulation.platform.requests)
-    simulation.client.watch("k", 0, lambda value: values.append(value.version))
+    simulation.client.watch(
+        "k", published.Revision(0, 0), lambda value: values.append(value.version)
+    )
     simulation.run(1_000)
     assert values == [5]
     assert len(simulation.platform.requests) <= asked + 2
@@ -238,7 +242,9 @@
 def test_the_period_bounds_the_requests_of_a_watch() -> None:
     simulation = Simulation()
     simulation.platform.values["k"] = (1, "x")
-    simulation.client.watch("k", 0, lambda value: None, lambda: 3_000.0)
+    simulation.client.watch(
+        "k", published.Revision(0, 0), lambda value: None, lambda: 3_000.0
+    )
     simulation.run(29_000)
     assert len(simulation.platform.requests) <= 10
 
@@ -250,7 +256,7 @@
         simulation.platform.values["k"] = (value.version + 1, "x")
 
     simulation.platform.values["k"] = (1, "x")
-    simulation.client.watch("k", 0, publish_next)
+    simulation.client.watch("k", published.Revision(0, 0), publish_next)
     simulation.run(1_000)
     assert 10 <= len(simulation.platform.requests) <= 21
 
