--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -18,6 +18,12 @@
 LIMITED_S = 6.0
 """How long an instance names a rate limit; the limit binds after half of it."""
 
+LOST_CHANGES = (1, 3, 8)
+"""How many changes a restored store may lack."""
+
+REWRITE_S = 0.7
+"""Time after a restore until operators and instances write again."""
+
 RATE_LIMITS = ("0.5", "3", "12")
 DELAYS_S = (0.02, 0.1, 0.3)
 
@@ -177,6 +183,21 @@
     context.site.run_command("down", down=False)
 
 
+async def restore_store(context: _context.Context) -> None:
+    """Bring the store back from a copy that lacks its last changes."""
+    lost = context.source.choice(LOST_CHANGES)
+    context.note(f"store restored without {lost} changes")
+    context.site.run_command("down", down=True)
+    await context.sleep(context.source.uniform(0.0, SHORT_S))
+    context.site.run_command("restore", changes=lost)
+    context.site.run_command("down", down=False)
+    await context.sleep(REWRITE_S)
+    context.site.publish(context.site.version)
+    for node in context.site.nodes.values():
+        if f"instance of {node.service}" not in context.reserved:
+            context.site.list_instance(node)
+
+
 async def fail_instance(context: _context.Context) -> None:
     """Let a target lose its responses or shed requests."""
     node = context.pick_node()
@@ -255,9 +276,12 @@
 def list_faults(seed: int, is_planned: bool) -> tuple[Fault, ...]:
     """Return the faults that a run draws from.
 
-    Seeds that failed before there were notices keep the faults that they failed with.
+    Seeds that failed before there were notices or restores keep the faults that they
+    failed with.
     """
     table = _PLANNED if is_planned else _UNPLANNED
     if seed in _seeds.SEEDS_BEFORE_NOTICES:
         return table
-    return (*table, leave_instance, limit_instance)
+    if seed in _seeds.SEEDS_BEFORE_RESTORES or is_planned:
+        return (*table, leave_instance, limit_instance)
+    return (*table, leave_instance, limit_instance, restore_store)
--- a/soak/_seeds.py
+++ b/soak/_seeds.py
@@ -9,10 +9,12 @@
 )
 """They failed before instances could name limits or say that they leave."""
 
-FAILED_SEEDS = (
-    *SEEDS_BEFORE_NOTICES,
+SEEDS_BEFORE_RESTORES = (
     231,  # a node that was starting read half-written settings and exited
 )
+"""They failed before stores were restored from copies."""
+
+FAILED_SEEDS = (*SEEDS_BEFORE_NOTICES, *SEEDS_BEFORE_RESTORES)
 
 # Seeds 26, 27, 29 and 32 failed by the cause of seed 16. Seed 33 sent a signal before
 # the interpreter ran the first line of the program, which no program can handle.
