Move the choice between listing and watching the store into the product

The reader of the platform's store decided when a listing is due and which history an answer belongs to; the adapter should hold names, formats and calls only. published.StorePosition decides now, without a network; platform._store_answer decodes.

--- a/src/jujubetiller/platform/_store_reader.py
+++ b/src/jujubetiller/platform/_store_reader.py
@@ -1,25 +1,20 @@
 """Reading of the platform's store."""
 
-import base64
 import json
 import random
 from collections.abc import Mapping
 from typing import Any
 from urllib import parse
 
-import attrs
 import logbook
 import result
 from twisted.internet import defer, interfaces
 
 from jujubetiller import clock, http_reads, published, schema, settings
-from jujubetiller.platform import _fields, _store_epoch
+from jujubetiller.platform import _store_answer, _store_epoch
 
 _LOG = logbook.Logger("jujubetiller.platform")
 
-_OK = 200
-_GONE = 410
-
 _ENVELOPE_BYTES = 65_536
 
 # Base64 makes values longer; a page holds about a megabyte of values.
@@ -34,26 +29,8 @@
 """Keeps the watches of the nodes from ending at the same time."""
 
 
-@attrs.frozen
-class _StoreAnswer:
-    """An answer of the store."""
-
-    status: int | str
-    """The HTTP status, or the reason for which there is none."""
-
-    page: Any
-    """The parsed body of an answer with status 200."""
-
-    epoch: int
-    """The history that the answer is from."""
-
-
 class StoreReader(published.ItemSource):
-    """Lists the store once, then watches it, and lists again when that is needed.
-
-    That is the case when the store no longer has the history from the state's revision
-    on, and when any answer shows that the store was restored from a copy. No listing is
-    needed if peers have brought the state beyond that point.
+    """Lists the store, then watches it, as ``published.StorePosition`` decides.
 
     Listings are linearizable: a stale one may hold items that a restore has removed.
     """
@@ -71,6 +48,7 @@
         self.random = random_source
         self.settings = store_settings
         self.state = state
+        self.position = published.StorePosition(state)
         self.reader = http_reads.HttpReader(reactor, store_settings.address)
         self.epoch_reader = _store_epoch.EpochReader()
         self.backoff = http_reads.Backoff(
@@ -78,24 +56,11 @@
         )
         self.is_stopped = False
         self.is_down = True
-        self.unwatchable = published.Revision()
-        """The store can't be watched from here or from before it: a listing is due
-        while the state is not beyond it."""
-
-        self.read_epoch = 0
-        """The history that the last successful read was from."""
-
-        self.rejected_answers = 0
-        """Answers of older histories than the state's."""
-
         self.succeeded_at_ms: float | None = None
         self.recovered_ms = 0.0
         self.had_changes = False
         """Whether the last watch returned changes."""
 
-        self.listings = 0
-        """Listings since the last watch that succeeded."""
-
         self.pending_read: defer.Deferred[Any] | None = None
         self.watched_epoch: int | None = None
         """The history that the watch under way is to continue, if there is one."""
@@ -117,7 +82,7 @@
 
         The result is -1 before the first one.
         """
-        if self.succeeded_at_ms is None or self.read_epoch < self.state.revision.epoch:
+        if self.succeeded_at_ms is None or not self.position.is_current():
             return -1.0
         return self.clock.now_ms() - self.succeeded_at_ms
 
@@ -129,7 +94,7 @@
         """Return the numbers of answers with a wrong or an older epoch."""
         return {
             "epoch_malformed": self.epoch_reader.malformed,
-            "answer_of_older_history": self.rejected_answers,
+            "answer_of_older_history": self.position.rejected_answers,
         }
 
     def _read(self) -> None:
@@ -144,7 +109,7 @@
         if self.is_stopped:
             return
         if failure is None:
-            has_pause = self.had_changes or self.listings > 1
+            has_pause = self.had_changes or self.position.repeats_listings()
             pause_ms = CHANGES_PAUSE_MS if has_pause else 0.0
             self.reactor.callLater(pause_ms / 1_000.0, self._read)
             return
@@ -155,7 +120,7 @@
         """List or watch once; return the reason of a failure, or ``None``."""
         self.had_changes = False
         try:
-            if self.state.revision <= self.unwatchable:
+            if self.position.is_listing_due():
                 return await self._list()
             return await self._watch(self.state.revision)
         except (schema.FieldError, ValueError) as error:
@@ -164,77 +129,65 @@
     async def _list(self) -> str | None:
         items: list[published.PublishedItem] = []
         revision: published.Revision | None = None
-        after = ""
+        query = {"prefix": ""}
         while True:
-            query = {"prefix": ""}
-            if after:
-                query["after"] = after
             answer = await self._get("/kv-range", query, 0.0)
-            if answer.status != _OK:
+            if answer.status != _store_answer.OK:
                 return f"listing failed: {answer.status}"
-            items += _translate_items(answer, "items")
-            as_of = _translate_as_of(answer)
+            items += answer.read_items("items")
+            as_of = answer.read_revision()
             revision = as_of if revision is None else min(revision, as_of)
             if as_of.epoch != revision.epoch:
                 return "listing failed: its pages are from two histories"
             if not answer.page.get("truncated") or not items:
                 break
-            after = items[-1].key
-        self.listings += 1
-        if revision.epoch < self.unwatchable.epoch:
-            _LOG.warning(
-                "store history not confirmed",
-                extra={"shown": self.unwatchable.epoch, "listed": str(revision)},
-            )
-            self.unwatchable = published.Revision(revision.epoch)
-        if revision <= self.unwatchable:
-            return f"listing failed: {revision} is not after {self.unwatchable}"
+            query["after"] = items[-1].key
+        if not self.position.accept_listing(revision):
+            return f"listing failed: {revision} can't be watched"
         self._apply(published.Changes(revision, tuple(items), True))
         return None
 
     async def _watch(self, after: published.Revision) -> str | None:
-        wait_ms = self._draw_wait_ms(after)
+        wait_ms = self._draw_wait_ms()
         query = {"prefix": "", "after": str(after.number), "wait_ms": str(wait_ms)}
         self.watched_epoch = after.epoch
         answer = await self._get("/kv-watch", query, wait_ms)
         self.watched_epoch = None
-        if self.state.revision.epoch > after.epoch:
+        if max(self.state.revision.epoch, answer.epoch) > after.epoch:
             # Peers have brought a newer history, or this answer shows one.
             return None
-        if answer.epoch > after.epoch:
-            return None
-        if answer.status == _GONE:
-            _LOG.info("watch history expired", extra={"revision": str(after)})
-            self.unwatchable = max(self.unwatchable, after)
+        if answer.status == _store_answer.GONE:
+            self.position.record_expired(after)
             return None
-        if answer.status != _OK:
+        if answer.status != _store_answer.OK:
             return f"watch failed: {answer.status}"
-        events = _translate_items(answer, "events")
+        events = answer.read_items("events")
         self.had_changes = bool(events)
-        self.listings = 0
+        self.position.record_watch()
         self.backoff.reset()
-        revision = max(after, _translate_as_of(answer))
+        revision = max(after, answer.read_revision())
         self._apply(published.Changes(revision, events, False))
         return None
 
-    def _draw_wait_ms(self, after: published.Revision) -> int:
+    def _draw_wait_ms(self) -> int:
         """Return how long the next watch waits; 0 in a history not read before."""
-        if self.read_epoch < after.epoch:
+        if not self.position.is_current():
             return 0
         jitter = 1.0 - WAIT_JITTER * self.random.random()
         return int(self.settings.watch_wait_ms * jitter)
 
     def _apply(self, changes: published.Changes) -> None:
         # Recorded first: removals after an outage or a restore have to wait.
-        has_recovered = self._record_success(changes.revision)
+        has_recovered = self._record_success(changes.revision.epoch)
         self.state.apply(changes)
         if has_recovered:
             _LOG.info("store answers", extra={"revision": str(changes.revision)})
 
     async def _get(
         self, path: str, query: dict[str, str], wait_ms: float
-    ) -> _StoreAnswer:
-        """Return the answer of the store, whose history it notes."""
+    ) -> _store_answer.StoreAnswer:
+        """Return the answer of the store, whose history is recorded."""
+        known_epoch = self.state.revision.epoch
         read = await self.reader.get(
             f"{path}?{parse.urlencode(query)}",
             wait_ms + self.settings.answer_timeout_ms,
@@ -242,37 +195,16 @@
             + _ENVELOPE_BYTES,
         )
         if isinstance(read, result.Err):
-            return _StoreAnswer(read.err_value.value, None, self.state.revision.epoch)
+            return _store_answer.StoreAnswer(read.err_value.value, None, known_epoch)
         answer = read.ok_value
-        epoch = self.epoch_reader.read(answer.headers)
-        if epoch is None:
-            epoch = self.state.revision.epoch
-        self._record_epoch(epoch, answer.status)
+        named_epoch = self.epoch_reader.read(answer.headers)
+        epoch = self.position.record_answer(named_epoch, answer.status)
         if epoch < self.state.revision.epoch:
-            self.rejected_answers += 1
-            return _StoreAnswer(f"answer of the older history {epoch}", None, epoch)
-        page = json.loads(answer.body) if answer.status == _OK else None
-        return _StoreAnswer(answer.status, page, epoch)
-
-    def _record_epoch(self, epoch: int, status: int) -> None:
-        """Make a listing due if an answer shows a newer history than the state's.
-
-        Only a listing, which needs answers of its own, leads to that history, so that
-        one wrong header does not.
-        """
-        started = published.Revision(epoch)
-        if epoch == self.state.revision.epoch or started == self.unwatchable:
-            return
-        _LOG.info(
-            "store history read",
-            extra={
-                "store_epoch": epoch,
-                "known": str(self.state.revision),
-                "status": status,
-            },
-        )
-        if epoch > self.state.revision.epoch:
-            self.unwatchable = started
+            reason = f"answer of the older history {epoch}"
+            return _store_answer.StoreAnswer(reason, None, epoch)
+        is_ok = answer.status == _store_answer.OK
+        page = json.loads(answer.body) if is_ok else None
+        return _store_answer.StoreAnswer(answer.status, page, epoch)
 
     def _restart_watch(self, items: list[published.PublishedItem]) -> None:
         """End the watch under way if peers have brought a newer history."""
@@ -282,14 +214,14 @@
             if self.pending_read is not None:
                 self.pending_read.cancel()
 
-    def _record_success(self, revision: published.Revision) -> bool:
+    def _record_success(self, epoch: int) -> bool:
         """Return whether this is the first success after an outage or a restore."""
         now_ms = self.clock.now_ms()
         self.succeeded_at_ms = now_ms
-        if not self.is_down and revision.epoch == self.read_epoch:
+        if not self.is_down and epoch == self.position.read_epoch:
             return False
         self.is_down = False
-        self.read_epoch = revision.epoch
+        self.position.read_epoch = epoch
         self.recovered_ms = now_ms
         return True
 
@@ -297,24 +229,3 @@
         if not self.is_down:
             self.is_down = True
             _LOG.warning("store lost", extra={"reason": str(reason)})
-
-
-def _translate_items(
-    answer: _StoreAnswer, field: str
-) -> tuple[published.PublishedItem, ...]:
-    rows = _fields.read(answer.page, field, list)
-    return tuple(_translate_item(row, answer.epoch) for row in rows)
-
-
-def _translate_as_of(answer: _StoreAnswer) -> published.Revision:
-    return published.Revision(answer.epoch, _fields.read_integer(answer.page, "as_of"))
-
-
-def _translate_item(row: Any, epoch: int) -> published.PublishedItem:
-    """Return a listed item or an event of a watch."""
-    key = _fields.read_text(row, "key")
-    revision = published.Revision(epoch, _fields.read_integer(row, "revision"))
-    if row.get("tombstone"):
-        return published.PublishedItem(key, revision, None)
-    value = base64.b64decode(_fields.read(row, "value", str), validate=True)
-    return published.PublishedItem(key, revision, value)
--- a/src/jujubetiller/published/__init__.py
+++ b/src/jujubetiller/published/__init__.py
@@ -10,6 +10,7 @@
 from jujubetiller.published._publisher_version import PublisherVersion
 from jujubetiller.published._retained_item import RetainedItem
 from jujubetiller.published._revision import MAX_NUMBER, Revision
+from jujubetiller.published._store_position import StorePosition
 
 __all__ = [
     "MAX_NUMBER",
@@ -23,4 +24,5 @@
     "PublisherVersion",
     "RetainedItem",
     "Revision",
+    "StorePosition",
 ]
