Split the mesh node's files that grew, and end the circle of its request log

_request_log took the whole EgressCall and so imported it back; it gets a RequestEnd now, made only for requests that are logged. No behaviour changes.

--- /dev/null
+++ b/src/jujubetiller/mesh/_build_parts.py
@@ -0,0 +1,80 @@
+"""Creates the components of a node."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from jujubetiller import (
+    clock,
+    congestion,
+    limits,
+    metrics,
+    notices,
+    published,
+    routing,
+    settings,
+    target,
+)
+from jujubetiller.mesh import (
+    _configuration_in_force,
+    _header_names,
+    _instance_directory,
+    _mesh_parts,
+    _mesh_state,
+    _retry_budget,
+)
+
+
+def build_parts(
+    reactor: Any,
+    time_source: clock.Clock,
+    random_source: random.Random,
+    node_settings: settings.MeshSettings,
+    headers: _header_names.HeaderNames,
+    decoder: published.ItemDecoder,
+    is_store_stable: Callable[[], bool],
+) -> _mesh_parts.MeshParts:
+    """Return the components of a node; ``pool`` and ``prober`` are not set yet."""
+    router = routing.LatencyWeightedRouter(
+        time_source, random_source, node_settings.routing, node_settings.zone
+    )
+    guard = limits.build_guard(time_source, node_settings.limits)
+    configuration = _configuration_in_force.ConfigurationInForce(
+        decoder, node_settings.node
+    )
+    directory = _instance_directory.InstanceDirectory(
+        decoder,
+        router,
+        node_settings.target.address,
+        node_settings.listen.peer.port,
+        is_store_stable,
+        configuration.is_service,
+    )
+    return _mesh_parts.MeshParts(
+        reactor=reactor,
+        clock=time_source,
+        random=random_source,
+        settings=node_settings,
+        headers=headers,
+        state=_mesh_state.MeshState(),
+        configuration=configuration,
+        directory=directory,
+        router=router,
+        guard=guard,
+        guard_timer=limits.GuardTimer(reactor, time_source, guard),
+        notices=notices.NoticeRecorder(guard, headers.notices),
+        target=target.TargetClient(
+            reactor,
+            time_source,
+            node_settings.target,
+            close_ends_answer=True,
+            requires_echo=True,
+        ),
+        budget=_retry_budget.RetryBudget(
+            time_source, node_settings.repeats, lambda: directory.node_count
+        ),
+        metrics=metrics.NodeMetrics(),
+        delays=congestion.PeakDelay(time_source),
+        callers=congestion.CallerShares(),
+        throttles=congestion.Throttles(time_source, random_source),
+    )
--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -10,6 +10,7 @@
 from jujubetiller import calls, codes, edge, retries, routes, routing
 from jujubetiller.mesh import (
     _attempt_policy,
+    _call_reports,
     _ingress_call,
     _mesh_parts,
     _replies,
@@ -19,9 +20,6 @@
 
 _Code = codes.ResultCode
 
-LATE_ANSWER_WEIGHT = 0.5
-"""The part of a failure that an answer beyond the latency objective counts as."""
-
 OVERDUE_FACTOR = 6.0
 """After this many times the usual duration, an attempt's answer may be lost."""
 
@@ -35,9 +33,6 @@
 RATE_LIMITED_DELAY_MS = 100.0
 """The queueing delay that is recorded for a request that no instance had room for."""
 
-# Codes of a node that stops or is unreachable, while its target may still be running.
-_NODE_UNREACHABLE_CODES = frozenset((_Code.DRAINING, _Code.PEER_UNREACHABLE))
-
 
 class EgressCall:
     """Sends a request to one instance after another and answers the client once."""
@@ -100,7 +95,7 @@
     def start(self) -> None:
         """Make the first attempt, unless the route's throttle refuses the request."""
         self.parts.state.requests_under_way += 1
-        if not self.parts.can_finish(self.find_needed_ms()):
+        if not self.parts.can_finish_request(self.service, self.route):
             self.finish(calls.make_refusal(_Code.DRAINING))
             return
         if not self.throttle.admits():
@@ -128,13 +123,6 @@
         self.instance = chosen.ok_value
         self.send(chosen.ok_value)
 
-    def find_needed_ms(self) -> float:
-        """Return a high estimate of the time that the request takes."""
-        usual_ms = self.parts.router.average_ms(self.service, self.route.name)
-        if usual_ms is None:
-            return self.route.latency_objective_ms
-        return _mesh_parts.FINISH_FACTOR * usual_ms
-
     def is_urgent(self) -> bool:
         """Return whether the request goes before others when instances lack room."""
         return self.route.priority_class == 0 or self.throttle.exempt
@@ -217,7 +205,10 @@
             return
         self.cancel_attempt = None
         self.cancel_overdue_timer()
-        self.report_to_router(instance, answer)
+        took_ms = self.parts.clock.now_ms() - self.sent_at_ms
+        _call_reports.report_attempt(
+            self.parts, instance, answer, took_ms, self.route.name
+        )
         self.parts.delays.record(answer.queue_delay_ms)
         self.queue_delay_ms = max(self.queue_delay_ms, answer.queue_delay_ms)
         if answer.code is _Code.ANSWERED:
@@ -237,20 +228,6 @@
         self.parts.metrics.count_retry(f"{step.value}_{answer.code.name.lower()}")
         self.attempt(may_repeat=answer.code is not _Code.RATE_LIMITED)
 
-    def report_to_router(
-        self, instance: routing.RoutableInstance, answer: calls.CallAnswer
-    ) -> None:
-        """Report the result of the attempt to the router."""
-        took_ms = self.parts.clock.now_ms() - self.sent_at_ms
-        if answer.code in _NODE_UNREACHABLE_CODES:
-            # Only the node may have stopped: it is probed until it is reachable again.
-            unreachable = calls.make_refusal(_Code.PEER_UNREACHABLE)
-            self.parts.router.record_answer(instance, unreachable, took_ms)
-            self.parts.router.mark_unreachable(instance)
-            self.parts.prober.start_probing(instance)
-            return
-        self.parts.router.record_answer(instance, answer, took_ms, self.route.name)
-
     def finish(self, answer: calls.CallAnswer) -> None:
         """Answer the client."""
         reply, self.reply = self.reply, None
@@ -271,17 +248,38 @@
             self.route.name, self.route.priority_class, answer.outcome
         )
         self.parts.metrics.count_refusal(answer.code.value)
-        _request_log.log_end(self, answer, edge_reply.status, took_ms)
+        self.log_unless_usual(answer, edge_reply.status, took_ms)
         if self.tried:
-            failure = self.weigh_failure(edge_reply.status, took_ms)
+            failure = _call_reports.weigh_failure(
+                edge_reply.status, took_ms, self.route.latency_objective_ms
+            )
             self.throttle.record(failure, self.queue_delay_ms)
         reply(edge_reply)
 
-    def weigh_failure(self, status: int, took_ms: float) -> float:
-        """Return 1 for a failure, ``LATE_ANSWER_WEIGHT`` for a late answer, else 0."""
-        if status >= calls.LOWEST_FAILURE_STATUS:
-            return 1.0
-        return LATE_ANSWER_WEIGHT * (took_ms > self.route.latency_objective_ms)
+    def log_unless_usual(
+        self, answer: calls.CallAnswer, status: int, took_ms: float
+    ) -> None:
+        """Log the end, unless the first attempt succeeded within the objective."""
+        is_late = took_ms > self.route.latency_objective_ms
+        is_failure = status >= calls.LOWEST_FAILURE_STATUS
+        if len(self.tried) == 1 and not is_late and not is_failure:
+            return
+        _request_log.log_end(
+            _request_log.RequestEnd(
+                request=self.request_id,
+                route=self.route.name,
+                service=self.service,
+                answer=answer,
+                status=status,
+                arrivals=self.attempts.arrivals,
+                instances=self.tried,
+                took_ms=took_ms,
+                left_ms=self.deadline.left_ms(self.parts.clock),
+                queue_delay_ms=self.queue_delay_ms,
+                admitted_share=self.throttle.share,
+                version=self.parts.configuration.version,
+            )
+        )
 
     def cancel(self) -> None:
         """Cancel the request after its client has disconnected."""
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -12,30 +12,20 @@
 
 from jujubetiller import (
     clock,
-    congestion,
     edge,
-    limits,
-    metrics,
-    notices,
     published,
-    routing,
     settings,
     streams,
-    target,
 )
 from jujubetiller.mesh import (
-    _configuration_in_force,
+    _build_parts,
     _drain,
     _egress_site,
     _header_names,
-    _instance_directory,
     _load_log,
     _mesh_counters,
-    _mesh_parts,
-    _mesh_state,
     _peer_calls,
     _peer_prober,
-    _retry_budget,
     _state_exchange,
     _status_sites,
     _store_stability,
@@ -90,7 +80,15 @@
                 + node_settings.store.answer_timeout_ms
             ),
         )
-        self.parts = self._build_parts(time_source, random_source, headers, decoder)
+        self.parts = _build_parts.build_parts(
+            reactor,
+            time_source,
+            random_source,
+            node_settings,
+            headers,
+            decoder,
+            self.store_stability.is_stable,
+        )
         self.parts.prober = _peer_prober.PeerProber(self.parts)
         self.parts.metrics.export(
             _mesh_counters.make_groups(self.parts, self.state, self.source)
@@ -105,58 +103,6 @@
         self.applied_version = 0
         """Version of the configuration that the directory and the edge apply."""
 
-    def _build_parts(
-        self,
-        time_source: clock.Clock,
-        random_source: random.Random,
-        headers: _header_names.HeaderNames,
-        decoder: published.ItemDecoder,
-    ) -> _mesh_parts.MeshParts:
-        node_settings = self.settings
-        router = routing.LatencyWeightedRouter(
-            time_source, random_source, node_settings.routing, node_settings.zone
-        )
-        guard = limits.build_guard(time_source, node_settings.limits)
-        configuration = _configuration_in_force.ConfigurationInForce(
-            decoder, node_settings.node
-        )
-        directory = _instance_directory.InstanceDirectory(
-            decoder,
-            router,
-            node_settings.target.address,
-            node_settings.listen.peer.port,
-            self.store_stability.is_stable,
-            configuration.is_service,
-        )
-        return _mesh_parts.MeshParts(
-            reactor=self.reactor,
-            clock=time_source,
-            random=random_source,
-            settings=node_settings,
-            headers=headers,
-            state=_mesh_state.MeshState(),
-            configuration=configuration,
-            directory=directory,
-            router=router,
-            guard=guard,
-            guard_timer=limits.GuardTimer(self.reactor, time_source, guard),
-            notices=notices.NoticeRecorder(guard, headers.notices),
-            target=target.TargetClient(
-                self.reactor,
-                time_source,
-                node_settings.target,
-                close_ends_answer=True,
-                requires_echo=True,
-            ),
-            budget=_retry_budget.RetryBudget(
-                time_source, node_settings.repeats, lambda: directory.node_count
-            ),
-            metrics=metrics.NodeMetrics(),
-            delays=congestion.PeakDelay(time_source),
-            callers=congestion.CallerShares(),
-            throttles=congestion.Throttles(time_source, random_source),
-        )
-
     def start(self) -> None:
         """Open the listeners and start to read the store.
 
--- a/src/jujubetiller/mesh/_mesh_parts.py
+++ b/src/jujubetiller/mesh/_mesh_parts.py
@@ -11,6 +11,7 @@
     limits,
     metrics,
     notices,
+    routes,
     routing,
     settings,
     streams,
@@ -67,6 +68,17 @@
             return True
         return needed_ms <= ends_at_ms - self.clock.now_ms()
 
+    def can_finish_request(self, service: str, route: routes.Route) -> bool:
+        """Return whether a request of ``route`` ends before the node stops.
+
+        It is taken to need its latency objective as long as its usual duration is not
+        known.
+        """
+        usual_ms = self.router.average_ms(service, route.name)
+        if usual_ms is None:
+            return self.can_finish(route.latency_objective_ms)
+        return self.can_finish(FINISH_FACTOR * usual_ms)
+
     def is_ready(self) -> bool:
         """Return whether the node can route requests as its peers do."""
         return (
