Name what rate limits know of responses by the usual words

was_heard becomes has_response, heard_at_ms stated_at_ms; texts say stated, received and responded in place of said and heard. No behaviour changes.

--- a/src/jujubetiller/calls/_call_request.py
+++ b/src/jujubetiller/calls/_call_request.py
@@ -54,5 +54,5 @@
     """The only instance that may run the call; empty if the node may choose."""
 
     rate_limit_per_s: float | None = None
-    """The limit of the expected instance that the sender last heard of, which a node
-    that has just started beside it does not know; None if it heard of none."""
+    """The limit of the expected instance that the sender last received, which a node
+    that has just started beside it does not know; None if it received none."""
--- a/src/jujubetiller/limits/_rate_limit.py
+++ b/src/jujubetiller/limits/_rate_limit.py
@@ -21,7 +21,7 @@
 
         self.named_at_ms = 0.0
         self.omissions = 0
-        self.was_heard = False
+        self.has_response = False
         """Whether any response of this lifetime was recorded."""
 
     def adopt(self, per_s: float) -> bool:
@@ -29,7 +29,7 @@
 
         It holds until the target's first response, and only if there was none before.
         """
-        if self.was_heard:
+        if self.has_response:
             return False
         self.per_s = per_s
         return True
@@ -37,7 +37,7 @@
     def record_named(self, per_s: float) -> bool:
         """Record a response that names a limit; return whether the limit changed."""
         changed = per_s != self.per_s
-        self.was_heard = True
+        self.has_response = True
         self.per_s = per_s
         self.named_at_ms = self.clock.now_ms()
         self.omissions = 0
@@ -48,8 +48,8 @@
 
         ``sent_at_ms`` is when its request was sent to the target.
         """
-        was_adopted = not self.was_heard
-        self.was_heard = True
+        was_adopted = not self.has_response
+        self.has_response = True
         if self.per_s is None or sent_at_ms <= self.named_at_ms:
             return False
         self.omissions += 1
@@ -67,4 +67,4 @@
         """Forget the limit, as for a new lifetime of the target."""
         self.per_s = None
         self.omissions = 0
-        self.was_heard = False
+        self.has_response = False
--- a/src/jujubetiller/mesh/_load_log.py
+++ b/src/jujubetiller/mesh/_load_log.py
@@ -69,7 +69,7 @@
                 extra={
                     "instance": name,
                     "limit_per_s": stats.rate.limit_per_s,
-                    "age_ms": round(now_ms - stats.rate.heard_at_ms, 1),
+                    "age_ms": round(now_ms - stats.rate.stated_at_ms, 1),
                     "share": round(stats.rate.read(now_ms), 3),
                     "sent": sent,
                     "refused": refused - refused_before,
--- a/src/jujubetiller/notices/_notice_recorder.py
+++ b/src/jujubetiller/notices/_notice_recorder.py
@@ -49,9 +49,9 @@
         self.is_leaving = False
 
     def adopt_limit(self, instance: str, limit_per_s: float | None) -> None:
-        """Take over the limit that a caller names, if the target has not been heard."""
+        """Take over the limit that a caller names before the target has responded."""
         rate_limit = self.guard.rate_limit
-        if limit_per_s is None or rate_limit.was_heard:
+        if limit_per_s is None or rate_limit.has_response:
             return
         if limit_per_s != rate_limit.per_s and rate_limit.adopt(limit_per_s):
             self.instance = instance
@@ -64,7 +64,7 @@
     def add_to_answer(self, instance: str, answer: calls.CallAnswer) -> None:
         """Set the fields of ``answer`` that tell its caller about ``instance``.
 
-        They stay empty for an instance that this node has not heard.
+        They stay empty for an instance that has not responded yet.
         """
         if instance != self.instance:
             return
@@ -81,7 +81,7 @@
         return (
             notices is _target_notices.NO_NOTICES
             and rate_limit.per_s is None
-            and rate_limit.was_heard
+            and rate_limit.has_response
             and instance == self.instance
         )
 
--- a/src/jujubetiller/routing/_rate_share.py
+++ b/src/jujubetiller/routing/_rate_share.py
@@ -36,13 +36,13 @@
 
     share: float = 1.0
     updated_at_ms: float = -math.inf
-    heard_at_ms: float = -math.inf
+    stated_at_ms: float = -math.inf
     """When an answer last stated the limit."""
 
     def record(self, limit_per_s: float, admitted_share: float, now_ms: float) -> None:
         """Record what an answer of the instance's node states."""
         self.limit_per_s = limit_per_s
-        self.heard_at_ms = now_ms
+        self.stated_at_ms = now_ms
         if now_ms - self.updated_at_ms < UPDATE_INTERVAL_MS:
             return
         factor = RECOVERY_FACTOR
--- a/src/jujubetiller/routing/_router.py
+++ b/src/jujubetiller/routing/_router.py
@@ -45,7 +45,7 @@
         self.probes_sent = 0
         self.no_instance_refusals = 0
         self.leaving_incarnations: dict[tuple[str, int, str], None] = {}
-        """The incarnations that said that they leave, the earliest first."""
+        """Incarnations that stated that they leave, the earliest first."""
 
         self.rate_limited_refusals = 0
         self.rate_limited: dict[str, _instance_stats.InstanceStats] = {}
@@ -223,7 +223,7 @@
             self.pools[instance.service].rebuild_lists()
 
     def _record_leaving(self, instance: _routable_instance.RoutableInstance) -> None:
-        """Mark an instance as leaving that has said so itself.
+        """Mark an instance as leaving that has stated so itself.
 
         That holds for its incarnation whatever lists say, also if they drop it and list
         it again.
@@ -241,7 +241,7 @@
         )
 
     def _keep_leaving(self, pool: _service_pool.ServicePool) -> None:
-        """Mark the listed incarnations that said that they leave."""
+        """Mark the listed incarnations that stated that they leave."""
         if not self.leaving_incarnations:
             return
         for stats in tuple(pool.stats.values()):
