Test each field of the state messages by itself again

The rows of malformed messages had too few fields since requests and answers got one more, so each was rejected for its length whatever else was wrong. Rows now change one field of a valid message, which a test shows to be valid, and cover the digest and the retained items.

--- a/tests/mesh/test_state_messages.py
+++ b/tests/mesh/test_state_messages.py
@@ -25,27 +25,59 @@
         for revision in ([2, bad], [bad, 2])
     ),
 ]
+
+
+def request(**wrong: Any) -> list[Any]:
+    """Return the fields of a valid request, but for those in ``wrong``."""
+    fields = {"revision": REVISION, "host": "127.0.0.1", "port": 1, "digest": 0}
+    return list({**fields, **wrong}.values())
+
+
+def answer(**wrong: Any) -> list[Any]:
+    """Return the fields of a valid answer, but for those in ``wrong``."""
+    fields = {
+        "revision": REVISION,
+        "is_listing": True,
+        "is_settled": True,
+        "items": [ITEM],
+        "retained": [[ITEM, True]],
+    }
+    return list({**fields, **wrong}.values())
+
+
+ITEM = ["k", REVISION, b"v"]
+BAD_ITEMS: list[Any] = [
+    1,
+    ["k", REVISION],
+    [1, REVISION, b""],
+    ["k", REVISION, "text"],
+    *(["k", bad, b""] for bad in BAD_REVISIONS),
+]
 REQUESTS: list[Any] = [
     1,
     [],
     {},
-    *([revision, "127.0.0.1", 1] for revision in BAD_REVISIONS),
-    [REVISION, 5, 1],
-    [REVISION, "a host", 1],
-    [REVISION, "127.0.0.1", 1.5],
-    [REVISION, "127.0.0.1", 10**6],
+    request()[:-1],
+    *(request(revision=bad) for bad in BAD_REVISIONS),
+    request(host=5),
+    request(host="a host"),
+    request(port=1.5),
+    request(port=10**6),
+    *(request(digest=bad) for bad in (None, True, "1", 1.5)),
 ]
 ANSWERS: list[Any] = [
     1,
-    [REVISION, True, True],
-    [REVISION, True, True, 5],
-    [REVISION, True, True, {"a": 1}],
-    *([revision, True, True, []] for revision in BAD_REVISIONS),
-    [REVISION, 1, True, []],
-    [REVISION, True, "yes", []],
-    [REVISION, True, True, [[1, REVISION, b""]]],
-    *([REVISION, True, True, [["k", bad, b""]]] for bad in BAD_REVISIONS),
-    [REVISION, True, True, [["k", REVISION, "text"]]],
+    answer()[:-1],
+    *(answer(revision=bad) for bad in BAD_REVISIONS),
+    answer(is_listing=1),
+    answer(is_settled="yes"),
+    answer(items=5),
+    answer(items={"a": 1}),
+    *(answer(items=[bad]) for bad in BAD_ITEMS),
+    answer(retained=5),
+    answer(retained=[ITEM]),
+    answer(retained=[[ITEM, 1]]),
+    *(answer(retained=[[bad, True]]) for bad in BAD_ITEMS),
 ]
 CASES = [
     *((_state_message.decode_request, document) for document in REQUESTS),
@@ -68,14 +100,25 @@
         assert decode(body).is_err()
 
 
+def test_the_fields_of_the_cases_are_valid_but_for_the_wrong_one() -> None:
+    for decode, fields in (
+        (_state_message.decode_request, request()),
+        (_state_message.decode_answer, answer()),
+    ):
+        assert decode(bytes(msgpack.packb(fields))).is_ok()
+
+
 def test_valid_messages_arrive_unchanged() -> None:
-    request = _state_message.StateRequest(published.Revision(2, 7), ADDRESS)
-    assert _state_message.decode_request(request.encode()).unwrap() == request
+    sent = _state_message.StateRequest(published.Revision(2, 7), ADDRESS, 2**64 - 1)
+    assert _state_message.decode_request(sent.encode()).unwrap() == sent
     items = (
         published.PublishedItem("k", published.Revision(1, 6), b"v"),
         published.PublishedItem("gone", published.Revision(2, 7), None),
     )
-    answer = _state_message.StateAnswer(
-        published.Changes(published.Revision(2, 7), items, True), False
+    sent_answer = _state_message.StateAnswer(
+        published.Changes(published.Revision(2, 7), items, True),
+        False,
+        (published.RetainedItem(items[0], True),),
     )
-    assert _state_message.decode_answer(answer.encode()).unwrap() == answer
+    decoded = _state_message.decode_answer(sent_answer.encode()).unwrap()
+    assert decoded == sent_answer
--- a/tests/published/test_published_state.py
+++ b/tests/published/test_published_state.py
@@ -203,3 +203,14 @@
     restored(state, *items)
     assert len(state.retained.all()) == 2
     assert state.retained.refused == 2
+
+
+@pytest.mark.parametrize("value", [None, b"", b"bad"])
+def test_an_invalid_value_of_a_peer_is_not_retained(value: bytes | None) -> None:
+    state = make_state()
+    state.apply(changes(3, Item("op", at(3), b"4"), listing=True))
+    seen: list[Item] = []
+    state.observers.append(seen.extend)
+    state.apply_retained((published.RetainedItem(Item("op", at(9), value), False),))
+    assert seen == []
+    assert state.retained.all() == ()
