Log answers of the store that can't be applied, and rejected configurations, as errors

A listing that failed at one of its items showed as 'store lost' once, with the text of an exception, and a rejected configuration as a warning among others: the logs could not tell a store out of reach from one whose answers are not applied. Both are now errors of their own; the reader counts answers that it could not apply (answer_malformed).

--- a/src/jujubetiller/mesh/_configuration_in_force.py
+++ b/src/jujubetiller/mesh/_configuration_in_force.py
@@ -56,7 +56,11 @@
         decoded = self.decoder.decode_configuration(item)
         if isinstance(decoded, result.Err):
             self.rejected += 1
-            _LOG.warning("configuration rejected: {}", decoded.err_value)
+            _LOG.error(
+                "configuration rejected: {}",
+                decoded.err_value,
+                extra={"revision": str(item.revision), "version": self.version},
+            )
             return
         configuration = decoded.ok_value
         if configuration.version <= self.version:
--- a/src/jujubetiller/platform/_store_reader.py
+++ b/src/jujubetiller/platform/_store_reader.py
@@ -61,6 +61,9 @@
         self.had_changes = False
         """Whether the last watch returned changes."""
 
+        self.bad_answers = 0
+        """Answers that could not be decoded or applied."""
+
         self.pending_read: defer.Deferred[Any] | None = None
         self.watched_epoch: int | None = None
         """The history that the watch under way is to continue, if there is one."""
@@ -91,8 +94,9 @@
         return self.recovered_ms
 
     def read_counters(self) -> Mapping[str, float]:
-        """Return the numbers of answers with a wrong or an older epoch."""
+        """Return the numbers of answers that were not applied, by reason."""
         return {
+            "answer_malformed": self.bad_answers,
             "epoch_malformed": self.epoch_reader.malformed,
             "answer_of_older_history": self.position.rejected_answers,
         }
@@ -123,7 +127,9 @@
             if self.position.is_listing_due():
                 return await self._list()
             return await self._watch(self.state.revision)
-        except (schema.FieldError, ValueError) as error:
+        except (schema.FieldError, ValueError, RecursionError) as error:
+            self.bad_answers += 1
+            _LOG.error("store answer not applied", extra={"reason": str(error)})
             return f"bad answer: {error}"
 
     async def _list(self) -> str | None:
