Apply a restored store's listing although one of its entries can't be read

Callers: after a restore of the store, a confirmed change never came into force at any node, and its routes stayed as they were (CONFIG), as long as an entry of another writer stood in the store whose address has a port of more than 4,300 digits. Cause: int() raises ValueError for such a text, and the decoder let it out. On a restore the state reads the versions of what it knew, so the error ended PublishedState.apply in the middle of the listing; each further listing failed at the same item. Evidence: 2 of 8 cases of test_an_unreadable_entry_does_not_keep_a_restored_configuration_ out_of_force and one of test_a_wrong_field_of_an_entry_is_named failed before. Change: an address has at most five digits of a port, and the decoder turns any error in one item into a problem of that item, which its interface now promises.

--- a/src/jujubetiller/platform/_decoder.py
+++ b/src/jujubetiller/platform/_decoder.py
@@ -68,5 +68,10 @@
     try:
         return result.Ok(translate(parsed.ok_value))
     except schema.FieldError as error:
-        field = f"{item.key}.{error.field}"
-        return result.Err(codes.Problem(codes.ResultCode.BAD_ITEM, field, str(error)))
+        return result.Err(_describe(f"{item.key}.{error.field}", error))
+    except (ArithmeticError, RecursionError, ValueError) as error:
+        return result.Err(_describe(item.key, error))
+
+
+def _describe(field: str, error: Exception) -> codes.Problem:
+    return codes.Problem(codes.ResultCode.BAD_ITEM, field, str(error))
--- a/src/jujubetiller/platform/_fields.py
+++ b/src/jujubetiller/platform/_fields.py
@@ -10,6 +10,7 @@
 
 _DURATION = re.compile(r"(\d{1,9}(?:\.\d{1,9})?)(ms|s)")
 _MS_BY_UNIT = {"ms": 1.0, "s": 1_000.0}
+_ADDRESS = re.compile(r"(.{1,64}):([0-9]{1,5})")
 _REQUIRED: Any = object()
 
 MAX_SAFE_INTEGER = 2**53
@@ -23,7 +24,9 @@
         return float(value)
     found = _DURATION.fullmatch(value)
     if found is None:
-        raise schema.FieldError(name, f"allowed are times like 1500ms, got {value!r}")
+        raise schema.FieldError(
+            name, f"allowed are times like 1500ms, got {value!r:.80}"
+        )
     return float(found.group(1)) * _MS_BY_UNIT[found.group(2)]
 
 
@@ -54,10 +57,10 @@
 def read_address(document: Any, name: str) -> settings.Address:
     """Return an address, written like ``10.1.0.8:8300``."""
     text = read_text(document, name)
-    host, _, port = text.rpartition(":")
-    if not (port.isascii() and port.isdigit()):
-        raise schema.FieldError(name, f"allowed are HOST:PORT, got {text!r}")
-    return settings.Address(host, int(port))
+    found = _ADDRESS.fullmatch(text)
+    if found is None:
+        raise schema.FieldError(name, f"allowed are HOST:PORT, got {text!r:.80}")
+    return settings.Address(found.group(1), int(found.group(2)))
 
 
 def read(document: Any, name: str, kind: type, default: Any = _REQUIRED) -> Any:
--- a/src/jujubetiller/published/_item_decoder.py
+++ b/src/jujubetiller/published/_item_decoder.py
@@ -13,7 +13,11 @@
 
 
 class ItemDecoder(_item_versions.ItemVersions):
-    """Turns published items into configurations and instances."""
+    """Turns published items into configurations and instances.
+
+    No method raises for a value that it can't decode: items are applied in batches, and
+    one that can't be read must not keep the others from being applied.
+    """
 
     @abc.abstractmethod
     def instance_name(self, key: str) -> str | None:
--- a/tests/mesh/test_restored_store.py
+++ b/tests/mesh/test_restored_store.py
@@ -1,8 +1,10 @@
 """Guards against changes that are lost or reverted when the store is restored."""
 
 import attrs
+import pytest
 
 from standins.fleet import store_fleet
+from standins.mesh_site import documents
 
 SERVICES = {
     "booth-1": "booth",
@@ -159,6 +161,25 @@
     assert fleet.versions() == all_at(28)
 
 
+@pytest.mark.parametrize("port", ["9" * 5_000, "99999", "0x50", ""])
+@pytest.mark.parametrize("lost_again", [False, True])
+def test_an_unreadable_entry_does_not_keep_a_restored_configuration_out_of_force(
+    port: str, lost_again: bool
+) -> None:
+    fleet, copied_revision = start_fleet_at_version_20()
+    if not lost_again:
+        copied_revision = fleet.store.revision
+    entry = {**documents.INSTANCE, "address": f"127.0.9.9:{port}"}
+    fleet.publish("servers/other", documents.encode(entry))
+    fleet.network.run_for(1_000.0)
+    fleet.restore(copied_revision, down_ms=500.0)
+    fleet.publish("servers/other", documents.encode(entry, zone="4"))
+    fleet.network.run_for(1_000.0)
+    fleet.publish_configuration(24, "booth")
+    fleet.network.run_for(APPLY_MS)
+    assert fleet.versions() == all_at(24)
+
+
 def test_what_was_ignored_after_a_restore_is_counted_in_the_metrics() -> None:
     fleet, copied_revision = start_fleet_at_version_20()
     fleet.restore(copied_revision)
--- a/tests/platform/test_decoder.py
+++ b/tests/platform/test_decoder.py
@@ -6,6 +6,7 @@
 import result
 
 from jujubetiller import codes, platform, published, routes, settings
+from jujubetiller.platform import _instances
 from standins.mesh_site import documents
 
 DECODER = platform.PlatformDecoder()
@@ -40,6 +41,7 @@
         ("address", "127.0.0.1"),
         ("address", "name.example:80"),
         ("address", "127.0.0.1:99999"),
+        ("address", "127.0.0.1:" + "9" * 5_000),
         ("zone", []),
         ("capacity", 0),
         ("capacity", "29"),
@@ -63,6 +65,18 @@
     assert decoded.err_value.field.startswith("servers/i-1.")
 
 
+@pytest.mark.parametrize("error", [ValueError, OverflowError, RecursionError])
+def test_an_unexpected_error_in_one_entry_is_a_problem_of_that_entry(
+    error: type[Exception], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fail(name: str, entry: Any) -> None:
+        raise error("out of range")
+
+    monkeypatch.setattr(_instances, "translate_instance", fail)
+    decoded = DECODER.decode_instance(make_item("servers/i-1", b"{}"))
+    assert decoded.unwrap_err().field == "servers/i-1"
+
+
 @pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[1]", b'"x"', b"{", b"null"])
 def test_invalid_documents_are_rejected(value: bytes) -> None:
     assert DECODER.decode_instance(make_item("servers/i", value)).is_err()
