Log which calls a target ran when it ended

A broken connection doesn't tell: instances reset some, and faulty ones break off their responses. The node beside the instance now opens one connection after the first loss; if no process listens, it logs the calls that were lost together, the latest start first, and counts what probes showed (target_probes). The calls are answered as before, after the probe, or at once in a node that stops.

--- a/src/jujubetiller/mesh/_build_parts.py
+++ b/src/jujubetiller/mesh/_build_parts.py
@@ -22,6 +22,7 @@
     _mesh_parts,
     _mesh_state,
     _retry_budget,
+    _target_watch,
 )
 
 
@@ -50,6 +51,13 @@
         is_store_stable,
         configuration.is_service,
     )
+    target_client = target.TargetClient(
+        reactor,
+        time_source,
+        node_settings.target,
+        close_ends_answer=True,
+        requires_echo=True,
+    )
     return _mesh_parts.MeshParts(
         reactor=reactor,
         clock=time_source,
@@ -63,13 +71,8 @@
         guard=guard,
         guard_timer=limits.GuardTimer(reactor, time_source, guard),
         notices=notices.NoticeRecorder(guard, headers.notices),
-        target=target.TargetClient(
-            reactor,
-            time_source,
-            node_settings.target,
-            close_ends_answer=True,
-            requires_echo=True,
-        ),
+        target=target_client,
+        watch=_target_watch.TargetWatch(time_source, target_client),
         budget=_retry_budget.RetryBudget(
             time_source, node_settings.repeats, lambda: directory.node_count
         ),
--- a/src/jujubetiller/mesh/_ingress_call.py
+++ b/src/jujubetiller/mesh/_ingress_call.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from jujubetiller import calls, codes, limits, notices, target
-from jujubetiller.mesh import _mesh_parts
+from jujubetiller.mesh import _mesh_parts, _target_watch
 
 _Code = codes.ResultCode
 
@@ -91,6 +91,9 @@
         code = self.classify(response)
         self.record_notices(code, response)
         self.parts.guard.finished(self.entry, code is _Code.ANSWERED)
+        if code is _Code.TARGET_CLOSED_EARLY:
+            self.report_lost()
+            return
         answer = calls.CallAnswer(
             outcome=codes.describe(code).outcome,
             code=code,
@@ -101,6 +104,23 @@
             answer.body = response.body
         self.answer_with(answer)
 
+    def report_lost(self) -> None:
+        """Have the watch find out whether the target has ended, and answer then."""
+        if self.parts.state.draining:
+            # The node itself ends its calls, and it stops before a probe could end.
+            self.lost(False)
+            return
+        request_id = find_header(self.request.headers, self.parts.headers.request_id)
+        self.parts.watch.record_lost(
+            _target_watch.LostCall(
+                self.request, request_id or "", self.entry.started_at_ms, self.lost
+            )
+        )
+
+    def lost(self, target_has_ended: bool) -> None:
+        """Answer a call whose connection broke."""
+        self.answer_with(calls.make_refusal(_Code.TARGET_CLOSED_EARLY))
+
     def record_notices(
         self, code: codes.ResultCode, response: target.TargetResponse
     ) -> None:
--- a/src/jujubetiller/mesh/_mesh_counters.py
+++ b/src/jujubetiller/mesh/_mesh_counters.py
@@ -42,6 +42,11 @@
         lambda: read_published(parts, state, source),
     )
     yield from notices.make_groups(parts.guard, parts.notices)
+    yield metrics.CounterGroup(
+        "target_probes",
+        "Probes of the target after calls were lost, by what they showed.",
+        lambda: parts.watch.counts,
+    )
     yield metrics.CounterGroup(
         "guard_refused",
         "Calls that the guard of the target refused, by result code.",
--- a/src/jujubetiller/mesh/_mesh_parts.py
+++ b/src/jujubetiller/mesh/_mesh_parts.py
@@ -23,6 +23,7 @@
     _instance_directory,
     _mesh_state,
     _retry_budget,
+    _target_watch,
 )
 
 if TYPE_CHECKING:
@@ -53,6 +54,7 @@
     guard_timer: limits.GuardTimer
     notices: notices.NoticeRecorder
     target: target.TargetClient
+    watch: _target_watch.TargetWatch
     budget: _retry_budget.RetryBudget
     metrics: metrics.NodeMetrics
     delays: congestion.PeakDelay
--- a/src/jujubetiller/target/_target_client.py
+++ b/src/jujubetiller/target/_target_client.py
@@ -9,6 +9,7 @@
     _target_call,
     _target_connection,
     _target_connection_factory,
+    _target_probe,
     _target_request,
     _target_response,
     _target_statistics,
@@ -75,6 +76,15 @@
             )
         return call
 
+    def probe(self, on_end: Callable[[_target_probe.ProbeResult], None]) -> None:
+        """Open a connection and report whether the target listens."""
+        self.reactor.connectTCP(
+            self.settings.address.host,
+            self.settings.address.port,
+            _target_probe.TargetProbe(on_end),
+            timeout=self.settings.connect_timeout_ms / 1000.0,
+        )
+
     def pop_idle(
         self, echo: tuple[str, str] | None
     ) -> _target_connection.TargetConnection | None:
--- a/tests/mesh/local_mesh.py
+++ b/tests/mesh/local_mesh.py
@@ -63,6 +63,7 @@
         self.pool, self.target = local_node.FakePool(), local_node.FakeTarget()
         self.parts.pool = self.pool  # type: ignore[assignment]
         self.parts.target = self.target  # type: ignore[assignment]
+        self.parts.watch.target = self.target  # type: ignore[assignment]
         self.node.own_peer_address = lambda: settings.Address(  # type: ignore[method-assign]
             "127.0.0.1", PEER_PORT
         )
--- a/tests/node/local_node.py
+++ b/tests/node/local_node.py
@@ -105,11 +105,23 @@
 
     def __init__(self) -> None:
         self.requests: list[SentRequest] = []
+        self.probe_result = target.ProbeResult.LISTENS
+        self.probes: list[Callable[[target.ProbeResult], None]] = []
+        """Probes that the test ends, unless ``probe_result`` ends them at once."""
+
+        self.ends_probes = True
 
     def send(self, request: Any, on_end: Any) -> SentRequest:
         self.requests.append(SentRequest(request, on_end))
         return self.requests[-1]
 
+    def probe(self, on_end: Callable[[target.ProbeResult], None]) -> None:
+        """End the probe with ``probe_result``, at once or when the test does it."""
+        if self.ends_probes:
+            on_end(self.probe_result)
+        else:
+            self.probes.append(on_end)
+
     def close(self) -> None:
         """Do nothing, because there are no connections."""
 
