--- a/standins/fleet/mesh_fleet.py
+++ b/standins/fleet/mesh_fleet.py
@@ -17,6 +17,7 @@
 READ_CLASS, BOOK_CLASS = 2, 0
 MAX_BODY_BYTES = 1_048_576
 MAX_CONNECTIONS = 1_000
+OPERATOR_ZONE = "operator"
 
 
 @attrs.frozen
@@ -34,6 +35,7 @@
 
     request_id: str
     entry: str
+    name: str
     sent_at_ms: float
     reply: edge.EdgeReply | None = None
 
@@ -60,11 +62,16 @@
         self.sources: dict[str, _given_source.GivenSource] = {}
         self.items: list[published.PublishedItem] = []
         self.sent: list[SentRequest] = []
+        self.crash_plan = mesh_site.CrashPlan()
+        self.operator = self.network.start("operator", OPERATOR_ZONE)
+        """Starts instances again after crashes."""
+
+        self.work_ms = work_ms
         self.starts = 0
         self.start_store()
         self.publish("op/config", make_configuration())
         for name, place in self.places.items():
-            self.start_instance(name, place, work_ms)
+            self.start_instance(name, place)
             self.publish_instance(name)
         for name in self.places:
             self.start_node(name)
@@ -73,10 +80,12 @@
     def start_store(self) -> None:
         """Do nothing: nodes are given what is published."""
 
-    def start_instance(self, name: str, place: Place, work_ms: float) -> None:
+    def start_instance(self, name: str, place: Place) -> None:
         """Start the instance ``name`` in a process of its own."""
         process = self.network.start(f"{name}.instance", place.zone)
-        site = mesh_site.InstanceSite(process, name, place.service, work_ms)
+        site = mesh_site.InstanceSite(process, name, place.service, self.work_ms)
+        site.crash_plan = self.crash_plan
+        site.crash = functools.partial(self.crash_instance, name)
         self.instances[name] = site
         factory = edge.PipelinedFactory(
             process,
@@ -87,6 +96,21 @@
         )
         process.listenTCP(APP_PORT, factory, interface=place.host)
 
+    def crash_instance(self, name: str) -> None:
+        """End an instance without notice; it starts again a while later."""
+        process = self.network.processes[f"{name}.instance"]
+        if process.is_dead:
+            return
+        self.network.kill(process)
+        down_s = self.crash_plan.down_ms / 1000.0
+        self.operator.callLater(down_s, self.restart_instance, name)
+
+    def restart_instance(self, name: str) -> None:
+        """Start an instance again under its name, as a new lifetime."""
+        self.start_instance(name, self.places[name])
+        born = documents.INSTANCE["born"] + int(self.network.now_ms)
+        self.publish_instance(name, born=born)
+
     def start_node(self, name: str) -> mesh.MeshNode:
         """Start the node beside the instance ``name``; an earlier one must be dead."""
         place = self.places[name]
@@ -151,14 +175,20 @@
             published.Revision(number=len(self.items)), tuple(self.items), False
         )
 
-    def send(self, entry: str, kind: str = "get", time_left_ms: int = 2_000) -> None:
-        """Send a request of a client of the node ``entry``."""
+    def send(
+        self,
+        entry: str,
+        kind: str = "get",
+        time_left_ms: int = 2_000,
+        name: str = "1",
+    ) -> None:
+        """Send a request for ``name`` of a client of the node ``entry``."""
         request_id = f"{kind}-{len(self.sent)}"
-        sent = SentRequest(request_id, entry, self.network.now_ms)
+        sent = SentRequest(request_id, entry, name, self.network.now_ms)
         self.sent.append(sent)
         message = edge.EdgeMessage(
             PATHS[kind],
-            f"/{kind}/1",
+            f"/{kind}/{name}",
             (("host", "a.example"),),
             {
                 "jujubetiller-request-id": request_id,
--- a/standins/mesh_site/__init__.py
+++ b/standins/mesh_site/__init__.py
@@ -1,5 +1,6 @@
 """Stand-ins for the store and the instances that mesh nodes use, in one process."""
 
+from standins.mesh_site._crash_plan import CrashPlan, Run
 from standins.mesh_site._instance_site import InstanceSite
 from standins.mesh_site._local_mesh_site import HOSTS, LocalMeshSite, find_port_base
 from standins.mesh_site._mesh_process import MeshProcess
@@ -7,6 +8,8 @@
 from standins.mesh_site._store_site import StoreSite
 
 __all__ = [
+    "CrashPlan",
+    "Run",
     "HOSTS",
     "InstanceSite",
     "LocalMeshSite",
--- a/standins/mesh_site/_instance_site.py
+++ b/standins/mesh_site/_instance_site.py
@@ -6,13 +6,17 @@
 from typing import Any
 
 from jujubetiller import edge
-from standins.mesh_site import _stand_in_site
+from standins.mesh_site import _crash_plan, _stand_in_site
 
 _ID = "jujubetiller-request-id"
 _EXPECTED = "jujubetiller-expected-instance"
 _NOT_RUN = ("Jujubetiller-Not-Executed", "1")
 
 
+def _do_nothing() -> None:
+    """Do nothing; the default effect of a crash."""
+
+
 class InstanceSite(_stand_in_site.StandInSite):
     """Runs the requests that are addressed to it and counts the runs of each.
 
@@ -41,6 +45,10 @@
         self.arrivals: list[tuple[float, str]] = []
         """When each request arrived, in milliseconds, and its id."""
 
+        self.crash_plan = _crash_plan.CrashPlan()
+        self.crash: Callable[[], None] = _do_nothing
+        """Ends the process of the instance."""
+
         self.runs: collections.Counter[str] = collections.Counter()
         self.cancelled = 0
 
@@ -60,6 +68,7 @@
             reply(edge.EdgeReply(503, headers, b""))
             return edge.do_nothing
         self.runs[request] += 1
+        self.begin_run(message.path)
         if self.fault == "lost":
             return edge.do_nothing
         body = json.dumps({"instance": self.name, "path": message.path}).encode()
@@ -77,6 +86,19 @@
 
         return cancel
 
+    def begin_run(self, path: str) -> None:
+        """Record the run, and crash a little later if the plan says so."""
+        plan = self.crash_plan
+        run = _crash_plan.Run(self.reactor.seconds() * 1000.0, self.name, path)
+        plan.runs.append(run)
+        if path in plan.paths:
+            self.reactor.callLater(plan.after_ms / 1000.0, self.end_with, run)
+
+    def end_with(self, run: _crash_plan.Run) -> None:
+        """End the instance because of ``run``."""
+        self.crash_plan.crashes.append(run)
+        self.crash()
+
     def set_rate_limit(self, rate_limit: str) -> None:
         """Name another rate limit in the answers from now on."""
         now_ms = self.reactor.seconds() * 1000.0
