Contain requests that crash the instances which run them

Cause: nothing remembered what an instance was running when it ended. Each request that was cut off went to the next sound instance at once, the deadly one too, and each copy by a client was a new request. The class: a failure that a request carries along was taken for a failure of the instance, and retried elsewhere. Change: the package crashes. What ran at a crash is suspect: it runs apart, one suspect at an instance and one copy in the service at a time, latest start and most copies first. The only suspect at the next crash, or the only request at three crashes, is blamed and refused as not run (code 213) for 30 s, eight times longer after each failed trial; the others are clear again. A response clears a request. Nodes beside instances of one service tell each other at once, compare reports each second, and ask when they start. Refusals of this kind teach neither throttles nor routers anything.

--- a/src/jujubetiller/codes/_code_table.py
+++ b/src/jujubetiller/codes/_code_table.py
@@ -137,6 +137,21 @@
         True,
         "The stream closed before the call was written to it.",
     ),
+    (
+        _Code.REQUEST_CRASHES_TARGETS,
+        _NOT_RUN,
+        503,
+        False,
+        "Earlier copies of the request crashed the targets that ran them.",
+    ),
+    (
+        _Code.SUSPECT_NOT_TRIED,
+        _NOT_RUN,
+        503,
+        False,
+        "A copy of the request ran at a target when it crashed, and this one could "
+        "not be run apart from others in time.",
+    ),
     (
         _Code.STREAM_LOST,
         _UNKNOWN,
@@ -230,6 +245,13 @@
         True,
         "The answer took many times as long as usual and was given up.",
     ),
+    (
+        _Code.TARGET_CRASHED,
+        _UNKNOWN,
+        502,
+        True,
+        "The target ended while it ran the call.",
+    ),
     *_bad_input_rows.ROWS,
 )
 
--- /dev/null
+++ b/src/jujubetiller/crashes/__init__.py
@@ -0,0 +1,23 @@
+"""Containment of requests that crash the instances which run them."""
+
+from jujubetiller.crashes._crash_evidence import CrashEvidence, describe
+from jujubetiller.crashes._crash_message import CrashMessage, Trial, decode_message
+from jujubetiller.crashes._crash_report import CrashReport
+from jujubetiller.crashes._fingerprint import compute_request_fingerprint
+from jujubetiller.crashes._standing import Standing
+from jujubetiller.crashes._suspect_call import SuspectCall, SuspectState
+from jujubetiller.crashes._suspect_queue import SuspectQueue
+
+__all__ = [
+    "CrashEvidence",
+    "CrashMessage",
+    "CrashReport",
+    "Standing",
+    "SuspectCall",
+    "SuspectQueue",
+    "SuspectState",
+    "Trial",
+    "compute_request_fingerprint",
+    "decode_message",
+    "describe",
+]
--- /dev/null
+++ b/src/jujubetiller/crashes/_suspect_call.py
@@ -0,0 +1,30 @@
+"""A call of a request that may crash instances."""
+
+import enum
+from collections.abc import Callable
+
+import attrs
+
+from jujubetiller import calls, codes
+
+
+class SuspectState(enum.Enum):
+    """Whether a call waits, runs or is over."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    ENDED = "ended"
+
+
+@attrs.define(eq=False)
+class SuspectCall:
+    """One call that may have to be run apart.
+
+    Either ``start`` or ``refuse`` is called, unless the call is cancelled before.
+    """
+
+    fingerprint: int
+    deadline: calls.Deadline
+    start: Callable[[], None]
+    refuse: Callable[[codes.ResultCode], None]
+    state: SuspectState = SuspectState.WAITING
--- a/src/jujubetiller/mesh/_attempt_policy.py
+++ b/src/jujubetiller/mesh/_attempt_policy.py
@@ -23,7 +23,15 @@
 _REFUSED_BY_INSTANCE = frozenset((_Code.TARGET_SHED, _Code.WRONG_SERVICE))
 
 # Another instance would give the same result.
-_FINAL = frozenset((_Code.DEADLINE_SPENT, _Code.CALLER_CANCELLED, _Code.NO_INSTANCE))
+_FINAL = frozenset(
+    (
+        _Code.DEADLINE_SPENT,
+        _Code.CALLER_CANCELLED,
+        _Code.NO_INSTANCE,
+        _Code.REQUEST_CRASHES_TARGETS,
+        _Code.SUSPECT_NOT_TRIED,
+    )
+)
 
 
 class NextStep(enum.Enum):
--- a/src/jujubetiller/mesh/_build_parts.py
+++ b/src/jujubetiller/mesh/_build_parts.py
@@ -17,6 +17,7 @@
 )
 from jujubetiller.mesh import (
     _configuration_in_force,
+    _crash_containment,
     _header_names,
     _instance_directory,
     _mesh_parts,
@@ -58,6 +59,7 @@
         close_ends_answer=True,
         requires_echo=True,
     )
+    watch = _target_watch.TargetWatch(time_source, target_client)
     return _mesh_parts.MeshParts(
         reactor=reactor,
         clock=time_source,
@@ -72,7 +74,10 @@
         guard_timer=limits.GuardTimer(reactor, time_source, guard),
         notices=notices.NoticeRecorder(guard, headers.notices),
         target=target_client,
-        watch=_target_watch.TargetWatch(time_source, target_client),
+        watch=watch,
+        containment=_crash_containment.CrashContainment(
+            reactor, time_source, node_settings, headers, watch
+        ),
         budget=_retry_budget.RetryBudget(
             time_source, node_settings.repeats, lambda: directory.node_count
         ),
--- a/src/jujubetiller/mesh/_call_reports.py
+++ b/src/jujubetiller/mesh/_call_reports.py
@@ -12,6 +12,21 @@
 _NODE_UNREACHABLE_CODES = frozenset((_Code.DRAINING, _Code.PEER_UNREACHABLE))
 
 
+# What these say is about one request, not about the load of its service.
+_CRASH_CODES = frozenset(
+    (
+        _Code.REQUEST_CRASHES_TARGETS,
+        _Code.SUSPECT_NOT_TRIED,
+        _Code.TARGET_CRASHED,
+    )
+)
+
+
+def shows_load(code: codes.ResultCode) -> bool:
+    """Return whether the end of a request tells a throttle about its service."""
+    return code not in _CRASH_CODES
+
+
 def report_attempt(
     parts: _mesh_parts.MeshParts,
     instance: routing.RoutableInstance,
--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -249,7 +249,7 @@
         )
         self.parts.metrics.count_refusal(answer.code.value)
         self.log_unless_usual(answer, edge_reply.status, took_ms)
-        if self.tried:
+        if self.tried and _call_reports.shows_load(answer.code):
             failure = _call_reports.weigh_failure(
                 edge_reply.status, took_ms, self.route.latency_objective_ms
             )
--- a/src/jujubetiller/mesh/_ingress_call.py
+++ b/src/jujubetiller/mesh/_ingress_call.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from jujubetiller import calls, codes, limits, notices, target
+from jujubetiller import calls, codes, crashes, limits, notices, target
 from jujubetiller.mesh import _mesh_parts, _target_watch
 
 _Code = codes.ResultCode
@@ -25,7 +25,15 @@
 class IngressCall:
     """Runs one call at the target and replies once."""
 
-    __slots__ = ("deadline", "entry", "parts", "reply", "request", "target_call")
+    __slots__ = (
+        "contained",
+        "deadline",
+        "entry",
+        "parts",
+        "reply",
+        "request",
+        "target_call",
+    )
 
     def __init__(
         self,
@@ -38,6 +46,9 @@
         self.reply: Callable[[calls.CallAnswer], None] | None = reply
         self.deadline = calls.Deadline.after(parts.clock, request.deadline_left_ms)
         self.target_call: target.TargetCall | None = None
+        self.contained: crashes.SuspectCall | None = None
+        """The call as the containment of crashes sees it."""
+
         self.entry = limits.GuardEntry(
             rank=request.rank,
             depth=max(request.depth, self.is_nested_at_limit()),
@@ -48,7 +59,7 @@
         )
 
     def begin(self) -> None:
-        """Submit the call to the guard, which starts or queues it."""
+        """Start, queue or refuse the call."""
         needed_ms = _mesh_parts.FINISH_FACTOR * self.parts.guard.mean_run_ms
         if not self.parts.can_finish(needed_ms):
             self.refuse(_Code.DRAINING)
@@ -58,6 +69,17 @@
         self.parts.notices.adopt_limit(
             self.request.expected_instance, self.request.rate_limit_per_s
         )
+        containment = self.parts.containment
+        if containment.is_idle():
+            self.enter_guard()
+            return
+        self.contained = containment.make_call(
+            self.request, self.entry.deadline, self.enter_guard, self.refuse
+        )
+        containment.submit(self.contained)
+
+    def enter_guard(self) -> None:
+        """Submit the call to the guard, which starts or queues it."""
         self.parts.guard.submit(self.entry)
         if self.parts.guard.queue_length:
             self.parts.guard_timer.arm()
@@ -119,7 +141,8 @@
 
     def lost(self, target_has_ended: bool) -> None:
         """Answer a call whose connection broke."""
-        self.answer_with(calls.make_refusal(_Code.TARGET_CLOSED_EARLY))
+        code = _Code.TARGET_CRASHED if target_has_ended else _Code.TARGET_CLOSED_EARLY
+        self.answer_with(calls.make_refusal(code))
 
     def record_notices(
         self, code: codes.ResultCode, response: target.TargetResponse
@@ -168,6 +191,9 @@
     def answer_with(self, answer: calls.CallAnswer) -> None:
         """Send the answer, unless the call was answered or cancelled before."""
         reply, self.reply = self.reply, None
+        self.parts.containment.record_end(
+            self.contained, self.request, answer.code is _Code.ANSWERED
+        )
         if reply is not None:
             answer.queue_delay_ms = self.parts.delays.read()
             answer.is_nested = self.is_nested()
@@ -187,6 +213,8 @@
     def cancel(self) -> None:
         """Cancel the call because its caller no longer waits."""
         self.reply = None
+        if self.contained is not None:
+            self.parts.containment.cancel(self.contained)
         if not self.parts.guard.cancel(self.entry) and self.target_call is not None:
             self.target_call.cancel()
             self.parts.guard.abandoned(self.entry)
--- a/src/jujubetiller/mesh/_instance_directory.py
+++ b/src/jujubetiller/mesh/_instance_directory.py
@@ -116,6 +116,16 @@
         }
         return [settings.Address(host, self.peer_port) for host in sorted(hosts)]
 
+    def service_peers(self, service: str) -> list[settings.Address]:
+        """Return the addresses of the other nodes beside instances of ``service``."""
+        hosts = {
+            listed.instance.address.host
+            for listed in self.listed.values()
+            if listed.instance.service == service
+            and listed.instance.address != self.own_address
+        }
+        return [settings.Address(host, self.peer_port) for host in sorted(hosts)]
+
     def _apply_item(self, name: str, item: published.PublishedItem) -> None:
         if item.value is None:
             self.pending_removals[name] = item.revision
--- a/src/jujubetiller/mesh/_mesh_counters.py
+++ b/src/jujubetiller/mesh/_mesh_counters.py
@@ -42,6 +42,11 @@
         lambda: read_published(parts, state, source),
     )
     yield from notices.make_groups(parts.guard, parts.notices)
+    yield metrics.CounterGroup(
+        "crashes",
+        "Crashes of the target, requests blamed or cleared, and what bounds refused.",
+        parts.containment.read_counters,
+    )
     yield metrics.CounterGroup(
         "target_probes",
         "Probes of the target after calls were lost, by what they showed.",
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -19,6 +19,7 @@
 )
 from jujubetiller.mesh import (
     _build_parts,
+    _crash_exchange,
     _drain,
     _egress_site,
     _header_names,
@@ -96,6 +97,10 @@
         self.exchange = _state_exchange.StateExchange(
             self.parts, self.state, self.store_stability, self.own_peer_address
         )
+        self.parts.containment.boot_id = self.boot_id
+        self.crash_exchange = _crash_exchange.CrashExchange(
+            self.parts, self.parts.containment
+        )
         self.load_log = _load_log.LoadLog(self.parts)
         self.ports: dict[str, interfaces.IListeningPort] = {}
         self.edges: dict[str, edge.EdgeFactory] = {}
@@ -112,6 +117,7 @@
         parts = self.parts
         peer_calls = _peer_calls.PeerCalls(parts)
         peer_calls.exchange = self.exchange
+        peer_calls.crash_exchange = self.crash_exchange
         parts.pool = streams.StreamPool(
             self.reactor,
             parts.clock,
@@ -131,6 +137,7 @@
             self.listen(name, site)
         self.source.start()
         self.exchange.start()
+        self.crash_exchange.start()
         self.run_housekeeping()
         _LOG.info(
             "started",
@@ -182,6 +189,7 @@
         """Apply changed instances, and set the guard's slots from the own instance."""
         self.parts.directory.apply(items)
         self.exchange.start_comparison.begin()
+        self.crash_exchange.ask_at_start()
         if self.applied_version != self.parts.configuration.version:
             self.applied_version = self.parts.configuration.version
             self.parts.directory.refresh()
@@ -249,4 +257,5 @@
     def _stop_reading(self, left_over: int) -> int:
         self.source.stop()
         self.exchange.stop()
+        self.crash_exchange.stop()
         return left_over
--- a/src/jujubetiller/mesh/_mesh_parts.py
+++ b/src/jujubetiller/mesh/_mesh_parts.py
@@ -19,6 +19,7 @@
 )
 from jujubetiller.mesh import (
     _configuration_in_force,
+    _crash_containment,
     _header_names,
     _instance_directory,
     _mesh_state,
@@ -55,6 +56,7 @@
     notices: notices.NoticeRecorder
     target: target.TargetClient
     watch: _target_watch.TargetWatch
+    containment: _crash_containment.CrashContainment
     budget: _retry_budget.RetryBudget
     metrics: metrics.NodeMetrics
     delays: congestion.PeakDelay
--- a/src/jujubetiller/mesh/_peer_calls.py
+++ b/src/jujubetiller/mesh/_peer_calls.py
@@ -3,7 +3,12 @@
 from collections.abc import Callable
 
 from jujubetiller import calls, codes, edge, frames, streams
-from jujubetiller.mesh import _ingress_call, _mesh_parts, _state_exchange
+from jujubetiller.mesh import (
+    _crash_exchange,
+    _ingress_call,
+    _mesh_parts,
+    _state_exchange,
+)
 
 
 class PeerCalls(streams.StreamHandler):
@@ -12,6 +17,9 @@
     exchange: _state_exchange.StateExchange
     """Set before the first listener is opened."""
 
+    crash_exchange: _crash_exchange.CrashExchange
+    """Set before the first listener is opened."""
+
     def __init__(self, parts: _mesh_parts.MeshParts) -> None:
         self.parts = parts
 
@@ -22,7 +30,7 @@
     ) -> Callable[[], None]:
         """Run a call at the node's own target, or answer a state request."""
         if request.service == _state_exchange.STATE_SERVICE:
-            reply(self.exchange.answer(request))
+            reply(self.answer_node(request))
             return edge.do_nothing
         if request.service != self.parts.settings.service:
             reply(calls.make_refusal(codes.ResultCode.WRONG_SERVICE))
@@ -31,6 +39,12 @@
         call.begin()
         return call.cancel
 
+    def answer_node(self, request: calls.CallRequest) -> calls.CallAnswer:
+        """Return the answer to a message that concerns the nodes themselves."""
+        if request.path == _crash_exchange.PATH:
+            return self.crash_exchange.answer(request)
+        return self.exchange.answer(request)
+
     def handle_seal(self, key: str, reply: Callable[[bool], None]) -> None:
         """Confirm no seal, as this node has no execution keys."""
         reply(False)
--- a/src/jujubetiller/mesh/_replies.py
+++ b/src/jujubetiller/mesh/_replies.py
@@ -15,6 +15,9 @@
 RATE_LIMITED_PAUSE_FACTOR = 2.0
 """A rate limit lasts longer than a full queue, so clients are told to wait longer."""
 
+REFUSED_FOR_CRASHES_PAUSE_MS = 30_000.0
+"""A request that crashes targets is refused for at least this long."""
+
 _TEXT_TYPE = ("Content-Type", "text/plain; charset=utf-8")
 _RETRY_STATUS = 503
 
@@ -45,6 +48,8 @@
         pause_ms = MIN_RETRY_AFTER_MS + RETRY_AFTER_SPREAD_MS * random_source.random()
         if code is codes.ResultCode.RATE_LIMITED:
             pause_ms *= RATE_LIMITED_PAUSE_FACTOR
+        if code is codes.ResultCode.REQUEST_CRASHES_TARGETS:
+            pause_ms += REFUSED_FOR_CRASHES_PAUSE_MS
         headers.append(("Retry-After", f"{pause_ms / 1000.0:.2f}"))
     text = f"{code.value} {code.name}: {detail or entry.meaning}\n"
     return edge.EdgeReply(status, headers, text.encode())
--- a/src/jujubetiller/routing/_answer_classes.py
+++ b/src/jujubetiller/routing/_answer_classes.py
@@ -24,6 +24,15 @@
         _Code.DEADLINE_PASSED,
         _Code.ANSWER_INCOMPLETE,
         _Code.TARGET_CLOSED_EARLY,
+        _Code.TARGET_CRASHED,
+    }
+)
+
+_REFUSALS_OF_NODES = frozenset(
+    {
+        _Code.RATE_LIMITED,
+        _Code.REQUEST_CRASHES_TARGETS,
+        _Code.SUSPECT_NOT_TRIED,
     }
 )
 
@@ -57,10 +66,10 @@
 def is_sample(answer: calls.CallAnswer) -> bool:
     """Return whether the answer tells how well the instance serves.
 
-    A node that keeps to the rate limit of its target refuses at once, however fast or
-    slow the target is.
+    A node that keeps to the rate limit of its target, or that refuses a request for its
+    earlier crashes, does so at once, however fast or slow the target is.
     """
-    return answer.code is not _Code.RATE_LIMITED
+    return answer.code not in _REFUSALS_OF_NODES
 
 
 def is_from_peer(answer: calls.CallAnswer) -> bool:
--- a/src/jujubetiller/settings/__init__.py
+++ b/src/jujubetiller/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from jujubetiller.settings._address import Address
 from jujubetiller.settings._control_settings import ControlSettings
+from jujubetiller.settings._crash_settings import CrashSettings
 from jujubetiller.settings._key_settings import KeySettings
 from jujubetiller.settings._limit_settings import LimitSettings
 from jujubetiller.settings._listen_settings import ListenSettings
@@ -20,6 +21,7 @@
 from jujubetiller.settings._target_settings import TargetSettings
 
 __all__ = [
+    "CrashSettings",
     "Address",
     "ControlSettings",
     "KeySettings",
--- a/src/jujubetiller/settings/_mesh_settings.py
+++ b/src/jujubetiller/settings/_mesh_settings.py
@@ -4,6 +4,7 @@
 
 from jujubetiller.settings import (
     _address,
+    _crash_settings,
     _fields,
     _limit_settings,
     _log_settings,
@@ -46,6 +47,7 @@
     repeats: _repeat_settings.RepeatSettings = _repeat_settings.RepeatSettings()
     streams: _stream_settings.StreamSettings = _stream_settings.StreamSettings()
     limits: _limit_settings.LimitSettings = _limit_settings.LimitSettings()
+    crashes: _crash_settings.CrashSettings = _crash_settings.CrashSettings()
     routing: _routing_settings.RoutingSettings = _routing_settings.RoutingSettings()
     logs: _log_settings.LogSettings = _log_settings.LogSettings()
 
--- a/tests/mesh/local_mesh.py
+++ b/tests/mesh/local_mesh.py
@@ -74,6 +74,7 @@
         self.site = _egress_site.EgressSite(self.parts)
         self.peers = _peer_calls.PeerCalls(self.parts)
         self.peers.exchange = self.node.exchange
+        self.peers.crash_exchange = self.node.crash_exchange
         self.replies: list[edge.EdgeReply] = []
         self.answers: list[calls.CallAnswer] = []
         self.publish("op/config", documents.encode(documents.CONFIGURATION))
