Contain requests that crash targets on the own interface too

The own interface retried a call under which its target had ended as any other. What decides is the same: the containment, the watch and the exchange move from mesh to the package crashes, and each interface names its peers (CrashPeers) and the headers in which copies of a request agree.

--- a/src/jujubetiller/mesh/_crash_containment.py
+++ b/src/jujubetiller/crashes/_crash_containment.py
@@ -3,16 +3,24 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from jujubetiller import calls, clock, codes, crashes, settings
-from jujubetiller.mesh import _header_names, _target_watch
+from jujubetiller import calls, clock, codes, settings
+from jujubetiller.crashes import (
+    _crash_evidence,
+    _crash_message,
+    _crash_report,
+    _fingerprint,
+    _suspect_call,
+    _suspect_queue,
+    _target_watch,
+)
+
+_Message = _crash_message.CrashMessage
 
 CHECK_INTERVAL_MS = 25.0
 """How often deadlines and trials are checked while calls wait for a trial."""
 
-HOST = "host"
 
-
-def _send_nothing(message: crashes.CrashMessage) -> None:
+def _send_nothing(message: _Message) -> None:
     """Send nothing; the default before the node has peers."""
 
 
@@ -26,24 +34,27 @@
         self,
         reactor: Any,
         time_source: clock.Clock,
-        node_settings: settings.MeshSettings,
-        headers: _header_names.HeaderNames,
+        crash_settings: settings.CrashSettings,
         watch: _target_watch.TargetWatch,
+        process_name: str,
+        identity_headers: tuple[str, ...],
     ) -> None:
+        """Contain what the target of ``watch`` runs.
+
+        ``process_name`` is unique among the processes of all nodes, also across
+        restarts. ``identity_headers`` are the names, in lower case, of the headers in
+        which copies of one request agree.
+        """
         self.reactor = reactor
-        self.clock = time_source
-        self.node = node_settings.node
-        self.identity_headers = (HOST, headers.caller_service)
-        self.evidence = crashes.CrashEvidence(time_source, node_settings.crashes)
-        self.queue = crashes.SuspectQueue(
-            time_source, self.evidence, node_settings.crashes, self._announce_trial
+        self.process_name = process_name
+        self.identity_headers = identity_headers
+        self.evidence = _crash_evidence.CrashEvidence(time_source, crash_settings)
+        self.queue = _suspect_queue.SuspectQueue(
+            time_source, self.evidence, crash_settings, self._announce_trial
         )
-        self.send: Callable[[crashes.CrashMessage], None] = _send_nothing
+        self.send: Callable[[_Message], None] = _send_nothing
         """Sends a message to the other nodes beside instances of the service."""
 
-        self.boot_id = ""
-        """Keeps the ids of crashes apart from those before a restart of the node."""
-
         self.is_armed = False
         watch.target_ended = self.record_crash
 
@@ -57,18 +68,20 @@
         deadline: calls.Deadline,
         start: Callable[[], None],
         refuse: Callable[[codes.ResultCode], None],
-    ) -> crashes.SuspectCall:
+    ) -> _suspect_call.SuspectCall:
         """Return a call of ``request`` for ``submit``."""
-        return crashes.SuspectCall(self.identify(request), deadline, start, refuse)
+        return _suspect_call.SuspectCall(
+            self.identify(request), deadline, start, refuse
+        )
 
-    def submit(self, call: crashes.SuspectCall) -> None:
+    def submit(self, call: _suspect_call.SuspectCall) -> None:
         """Start the call, let it wait for a trial, or refuse it."""
         self.queue.submit(call)
         self._arm()
 
     def record_end(
         self,
-        call: crashes.SuspectCall | None,
+        call: _suspect_call.SuspectCall | None,
         request: calls.CallRequest,
         has_response: bool,
     ) -> None:
@@ -82,7 +95,7 @@
         if call is not None:
             self.queue.finish(call)
 
-    def cancel(self, call: crashes.SuspectCall) -> None:
+    def cancel(self, call: _suspect_call.SuspectCall) -> None:
         """Forget a call whose caller no longer waits for it."""
         self.queue.cancel(call)
 
@@ -90,13 +103,13 @@
         """Record the crash of the own target, and tell the other nodes."""
         number = self.evidence.counts["crash"]
         report = self.evidence.record_crash(
-            f"{self.node}.{self.boot_id}.{number}",
+            f"{self.process_name}.{number}",
             [self.identify(call.request) for call in lost],
         )
         self._send(reports=(report,))
         self.queue.advance()
 
-    def receive(self, message: crashes.CrashMessage) -> None:
+    def receive(self, message: _Message) -> None:
         """Apply what another node tells."""
         self.evidence.merge(message.reports)
         self.queue.record_trials(message.trials)
@@ -118,7 +131,7 @@
         """Return the fingerprint of a request."""
         named = {name.lower(): value for name, value in request.headers}
         identity = tuple(named.get(name, "") for name in self.identity_headers)
-        return crashes.compute_request_fingerprint(request, identity)
+        return _fingerprint.compute_request_fingerprint(request, identity)
 
     def _record_response(self, fingerprint: int) -> None:
         changed = self.evidence.record_response(fingerprint)
@@ -126,16 +139,16 @@
             self._send(reports=tuple(changed))
             self.queue.advance()
 
-    def _announce_trial(self, trial: crashes.Trial) -> None:
+    def _announce_trial(self, trial: _crash_message.Trial) -> None:
         self._send(trials=(trial,))
 
     def _send(
         self,
-        reports: tuple[crashes.CrashReport, ...] = (),
-        trials: tuple[crashes.Trial, ...] = (),
+        reports: tuple[_crash_report.CrashReport, ...] = (),
+        trials: tuple[_crash_message.Trial, ...] = (),
     ) -> None:
         digest = self.evidence.reports.digest()
-        self.send(crashes.CrashMessage(digest, reports, trials))
+        self.send(_Message(digest, reports, trials))
 
     def _arm(self) -> None:
         if self.queue.waiting and not self.is_armed:
--- a/src/jujubetiller/mesh/_crash_exchange.py
+++ b/src/jujubetiller/crashes/_crash_exchange.py
@@ -1,17 +1,28 @@
 """Exchange of crash reports between the nodes beside instances of one service."""
 
 import functools
+import random
+from typing import Any
 
 import logbook
 import result
 
-from jujubetiller import calls, codes, crashes, settings
-from jujubetiller.mesh import _crash_containment, _mesh_parts, _state_exchange
+from jujubetiller import calls, clock, codes, settings
+from jujubetiller.crashes import (
+    _crash_containment,
+    _crash_message,
+    _crash_peers,
+)
 
-_LOG = logbook.Logger("jujubetiller.mesh")
+_LOG = logbook.Logger("jujubetiller.crashes")
+
+_Message = _crash_message.CrashMessage
+
+NODE_SERVICE = ""
+"""Calls for this service are messages to the node; no real one has an empty name."""
 
 PATH = "/crashes"
-"""Path of the messages, which are calls for ``STATE_SERVICE``."""
+"""Path of the calls that hold the messages."""
 
 ANSWER_TIMEOUT_MS = 1_000.0
 
@@ -28,11 +39,19 @@
 
     def __init__(
         self,
-        parts: _mesh_parts.MeshParts,
+        reactor: Any,
+        time_source: clock.Clock,
+        random_source: random.Random,
+        crash_settings: settings.CrashSettings,
         containment: _crash_containment.CrashContainment,
+        peers: _crash_peers.CrashPeers,
     ) -> None:
-        self.parts = parts
+        self.reactor = reactor
+        self.clock = time_source
+        self.random = random_source
+        self.settings = crash_settings
         self.containment = containment
+        self.peers = peers
         self.has_asked = False
         """Whether the node has asked other nodes after its start."""
 
@@ -49,24 +68,24 @@
 
     def ask_at_start(self) -> None:
         """Ask other nodes for their reports, once; no effect while none is known."""
-        peers = self._list_peers()
-        if self.has_asked or not peers:
+        if self.has_asked:
             return
-        self.has_asked = True
-        if len(peers) > MAX_ASKED_AT_START:
-            peers = self.parts.random.sample(peers, MAX_ASKED_AT_START)
-        for address in peers:
+        addresses = self.peers.list_addresses()
+        self.has_asked = bool(addresses)
+        if len(addresses) > MAX_ASKED_AT_START:
+            addresses = self.random.sample(addresses, MAX_ASKED_AT_START)
+        for address in addresses:
             self._compare(address)
 
-    def send_to_all(self, message: crashes.CrashMessage) -> None:
+    def send_to_all(self, message: _Message) -> None:
         """Send a message to all other nodes of the service."""
-        for address in self._list_peers():
+        for address in self.peers.list_addresses():
             self._send(address, message)
 
     def answer(self, request: calls.CallRequest) -> calls.CallAnswer:
         """Apply a message; the answer has all reports if the sender knows others."""
-        now_ms = self.parts.clock.now_ms()
-        decoded = crashes.decode_message(request.body, now_ms)
+        now_ms = self.clock.now_ms()
+        decoded = _crash_message.decode_message(request.body, now_ms)
         if isinstance(decoded, result.Err):
             _LOG.warning("crash message rejected: {}", decoded.err_value)
             return calls.make_refusal(codes.ResultCode.BAD_FRAME)
@@ -74,9 +93,7 @@
         self.containment.receive(message)
         reports = self.containment.evidence.reports
         is_equal = message.digest == reports.digest()
-        answer = crashes.CrashMessage(
-            reports.digest(), () if is_equal else reports.all()
-        )
+        answer = _Message(reports.digest(), () if is_equal else reports.all())
         return calls.CallAnswer(
             outcome=codes.Outcome.ANSWERED,
             code=codes.ResultCode.ANSWERED,
@@ -84,17 +101,13 @@
             body=answer.encode(now_ms),
         )
 
-    def _list_peers(self) -> list[settings.Address]:
-        return self.parts.directory.service_peers(self.parts.settings.service)
-
     def _compare(self, address: settings.Address) -> None:
         """Get the reports of a peer that differ, and send it those that it lacks."""
-        digest = self.containment.evidence.reports.digest()
-        self._send(address, crashes.CrashMessage(digest))
+        self._send(address, _Message(self.containment.evidence.reports.digest()))
 
-    def _send(self, address: settings.Address, message: crashes.CrashMessage) -> None:
+    def _send(self, address: settings.Address, message: _Message) -> None:
         request = calls.CallRequest(
-            service=_state_exchange.STATE_SERVICE,
+            service=NODE_SERVICE,
             method="POST",
             path=PATH,
             kind="",
@@ -102,11 +115,11 @@
             rank=0,
             idempotent=True,
             deadline_left_ms=ANSWER_TIMEOUT_MS,
-            body=message.encode(self.parts.clock.now_ms()),
+            body=message.encode(self.clock.now_ms()),
         )
-        deadline = calls.Deadline.after(self.parts.clock, ANSWER_TIMEOUT_MS)
+        deadline = calls.Deadline.after(self.clock, ANSWER_TIMEOUT_MS)
         answered = functools.partial(self._apply_answer, address, bool(message.reports))
-        self.parts.pool.send_call(address, request, deadline, answered)
+        self.peers.send_call(address, request, deadline, answered)
 
     def _apply_answer(
         self,
@@ -116,7 +129,7 @@
     ) -> None:
         if answer.code is not codes.ResultCode.ANSWERED:
             return
-        decoded = crashes.decode_message(answer.body, self.parts.clock.now_ms())
+        decoded = _crash_message.decode_message(answer.body, self.clock.now_ms())
         if isinstance(decoded, result.Err):
             _LOG.warning("crash message rejected: {}", decoded.err_value)
             return
@@ -124,20 +137,19 @@
         self.containment.receive(message)
         reports = self.containment.evidence.reports
         if message.digest != reports.digest() and not has_sent_reports:
-            self._send(address, crashes.CrashMessage(reports.digest(), reports.all()))
+            self._send(address, _Message(reports.digest(), reports.all()))
 
     def _schedule(self) -> None:
-        if self.is_stopped:
-            return
-        jitter = 0.8 + 0.4 * self.parts.random.random()
-        pause_ms = self.parts.settings.crashes.exchange_ms * jitter
-        self.parts.reactor.callLater(pause_ms / 1000.0, self._run_round)
+        jitter = 0.8 + 0.4 * self.random.random()
+        pause_ms = self.settings.exchange_ms * jitter
+        self.reactor.callLater(pause_ms / 1000.0, self._run_round)
 
     def _run_round(self) -> None:
         if self.is_stopped:
             return
         self._schedule()
+        self.ask_at_start()
         self.containment.expire()
-        peers = self._list_peers()
-        if peers and not self.containment.is_idle():
-            self._compare(self.parts.random.choice(peers))
+        addresses = self.peers.list_addresses()
+        if addresses and not self.containment.is_idle():
+            self._compare(self.random.choice(addresses))
--- a/src/jujubetiller/mesh/_build_parts.py
+++ b/src/jujubetiller/mesh/_build_parts.py
@@ -7,6 +7,7 @@
 from jujubetiller import (
     clock,
     congestion,
+    crashes,
     limits,
     metrics,
     notices,
@@ -17,15 +18,16 @@
 )
 from jujubetiller.mesh import (
     _configuration_in_force,
-    _crash_containment,
     _header_names,
     _instance_directory,
     _mesh_parts,
     _mesh_state,
     _retry_budget,
-    _target_watch,
 )
 
+HOST = "host"
+"""The header that names the host to which a request is addressed."""
+
 
 def build_parts(
     reactor: Any,
@@ -35,6 +37,7 @@
     headers: _header_names.HeaderNames,
     decoder: published.ItemDecoder,
     is_store_stable: Callable[[], bool],
+    boot_id: str,
 ) -> _mesh_parts.MeshParts:
     """Return the components of a node; ``pool`` and ``prober`` are not set yet."""
     router = routing.LatencyWeightedRouter(
@@ -59,7 +62,7 @@
         close_ends_answer=True,
         requires_echo=True,
     )
-    watch = _target_watch.TargetWatch(time_source, target_client)
+    watch = crashes.TargetWatch(time_source, target_client)
     return _mesh_parts.MeshParts(
         reactor=reactor,
         clock=time_source,
@@ -75,8 +78,13 @@
         notices=notices.NoticeRecorder(guard, headers.notices),
         target=target_client,
         watch=watch,
-        containment=_crash_containment.CrashContainment(
-            reactor, time_source, node_settings, headers, watch
+        containment=crashes.CrashContainment(
+            reactor,
+            time_source,
+            node_settings.crashes,
+            watch,
+            f"{node_settings.node}.{boot_id}",
+            (HOST, headers.caller_service),
         ),
         budget=_retry_budget.RetryBudget(
             time_source, node_settings.repeats, lambda: directory.node_count
--- a/src/jujubetiller/mesh/_ingress_call.py
+++ b/src/jujubetiller/mesh/_ingress_call.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from jujubetiller import calls, codes, crashes, limits, notices, target
-from jujubetiller.mesh import _mesh_parts, _target_watch
+from jujubetiller.mesh import _mesh_parts
 
 _Code = codes.ResultCode
 
@@ -134,7 +134,7 @@
             return
         request_id = find_header(self.request.headers, self.parts.headers.request_id)
         self.parts.watch.record_lost(
-            _target_watch.LostCall(
+            crashes.LostCall(
                 self.request, request_id or "", self.entry.started_at_ms, self.lost
             )
         )
--- a/src/jujubetiller/mesh/_mesh_counters.py
+++ b/src/jujubetiller/mesh/_mesh_counters.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from jujubetiller import metrics, notices, published
+from jujubetiller import crashes, metrics, notices, published
 from jujubetiller.mesh import _mesh_parts
 
 
@@ -42,16 +42,7 @@
         lambda: read_published(parts, state, source),
     )
     yield from notices.make_groups(parts.guard, parts.notices)
-    yield metrics.CounterGroup(
-        "crashes",
-        "Crashes of the target, requests blamed or cleared, and what bounds refused.",
-        parts.containment.read_counters,
-    )
-    yield metrics.CounterGroup(
-        "target_probes",
-        "Probes of the target after calls were lost, by what they showed.",
-        lambda: parts.watch.counts,
-    )
+    yield from crashes.make_groups(parts.containment, parts.watch)
     yield metrics.CounterGroup(
         "guard_refused",
         "Calls that the guard of the target refused, by result code.",
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -12,6 +12,7 @@
 
 from jujubetiller import (
     clock,
+    crashes,
     edge,
     published,
     settings,
@@ -19,7 +20,6 @@
 )
 from jujubetiller.mesh import (
     _build_parts,
-    _crash_exchange,
     _drain,
     _egress_site,
     _header_names,
@@ -27,6 +27,7 @@
     _mesh_counters,
     _peer_calls,
     _peer_prober,
+    _service_peers,
     _state_exchange,
     _status_sites,
     _store_stability,
@@ -89,6 +90,7 @@
             headers,
             decoder,
             self.store_stability.is_stable,
+            self.boot_id,
         )
         self.parts.prober = _peer_prober.PeerProber(self.parts)
         self.parts.metrics.export(
@@ -97,9 +99,13 @@
         self.exchange = _state_exchange.StateExchange(
             self.parts, self.state, self.store_stability, self.own_peer_address
         )
-        self.parts.containment.boot_id = self.boot_id
-        self.crash_exchange = _crash_exchange.CrashExchange(
-            self.parts, self.parts.containment
+        self.crash_exchange = crashes.CrashExchange(
+            reactor,
+            time_source,
+            random_source,
+            node_settings.crashes,
+            self.parts.containment,
+            _service_peers.ServicePeers(self.parts),
         )
         self.load_log = _load_log.LoadLog(self.parts)
         self.ports: dict[str, interfaces.IListeningPort] = {}
--- a/src/jujubetiller/mesh/_mesh_parts.py
+++ b/src/jujubetiller/mesh/_mesh_parts.py
@@ -8,6 +8,7 @@
 from jujubetiller import (
     clock,
     congestion,
+    crashes,
     limits,
     metrics,
     notices,
@@ -19,12 +20,10 @@
 )
 from jujubetiller.mesh import (
     _configuration_in_force,
-    _crash_containment,
     _header_names,
     _instance_directory,
     _mesh_state,
     _retry_budget,
-    _target_watch,
 )
 
 if TYPE_CHECKING:
@@ -55,8 +54,8 @@
     guard_timer: limits.GuardTimer
     notices: notices.NoticeRecorder
     target: target.TargetClient
-    watch: _target_watch.TargetWatch
-    containment: _crash_containment.CrashContainment
+    watch: crashes.TargetWatch
+    containment: crashes.CrashContainment
     budget: _retry_budget.RetryBudget
     metrics: metrics.NodeMetrics
     delays: congestion.PeakDelay
--- a/src/jujubetiller/mesh/_peer_calls.py
+++ b/src/jujubetiller/mesh/_peer_calls.py
@@ -2,13 +2,8 @@
 
 from collections.abc import Callable
 
-from jujubetiller import calls, codes, edge, frames, streams
-from jujubetiller.mesh import (
-    _crash_exchange,
-    _ingress_call,
-    _mesh_parts,
-    _state_exchange,
-)
+from jujubetiller import calls, codes, crashes, edge, frames, streams
+from jujubetiller.mesh import _ingress_call, _mesh_parts, _state_exchange
 
 
 class PeerCalls(streams.StreamHandler):
@@ -17,7 +12,7 @@
     exchange: _state_exchange.StateExchange
     """Set before the first listener is opened."""
 
-    crash_exchange: _crash_exchange.CrashExchange
+    crash_exchange: crashes.CrashExchange
     """Set before the first listener is opened."""
 
     def __init__(self, parts: _mesh_parts.MeshParts) -> None:
@@ -41,7 +36,7 @@
 
     def answer_node(self, request: calls.CallRequest) -> calls.CallAnswer:
         """Return the answer to a message that concerns the nodes themselves."""
-        if request.path == _crash_exchange.PATH:
+        if request.path == crashes.PATH:
             return self.crash_exchange.answer(request)
         return self.exchange.answer(request)
 
--- a/src/jujubetiller/node/_build_parts.py
+++ b/src/jujubetiller/node/_build_parts.py
@@ -6,6 +6,7 @@
 
 from jujubetiller import (
     clock,
+    crashes,
     keys,
     limits,
     membership,
@@ -26,6 +27,9 @@
     _target_headers,
 )
 
+NO_IDENTITY_HEADERS = ()
+"""Callers of this interface have no header that names them."""
+
 
 def build_parts(
     reactor: Any,
@@ -44,6 +48,8 @@
         time_source, random_source, node_settings.pressure
     )
     guard = limits.build_guard(time_source, node_settings.limits)
+    target_client = target.TargetClient(reactor, time_source, node_settings.target)
+    watch = crashes.TargetWatch(time_source, target_client)
     ticket_state = tickets.TicketState(node_settings.control)
     return _node_parts.NodeParts(
         reactor=reactor,
@@ -58,7 +64,16 @@
         ),
         guard=guard,
         notices=notices.NoticeRecorder(guard, _target_headers.NOTICE_NAMES),
-        target=target.TargetClient(reactor, time_source, node_settings.target),
+        target=target_client,
+        watch=watch,
+        containment=crashes.CrashContainment(
+            reactor,
+            time_source,
+            node_settings.crashes,
+            watch,
+            f"{node_settings.instance}.{boot_id}",
+            NO_IDENTITY_HEADERS,
+        ),
         contexts=retries.ContextTable(
             random_source,
             node_settings.retries,
--- a/src/jujubetiller/node/_counter_groups.py
+++ b/src/jujubetiller/node/_counter_groups.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from jujubetiller import control, edge, logs, metrics, notices
+from jujubetiller import control, crashes, edge, logs, metrics, notices
 from jujubetiller.node import _control_loop, _node_parts, _platform_reading
 
 _Values = Mapping[str, float]
@@ -64,6 +64,7 @@
 def make_groups(parts: _node_parts.NodeParts) -> Iterable[metrics.CounterGroup]:
     """Return the counters of the components that calls share."""
     yield from notices.make_groups(parts.guard, parts.notices)
+    yield from crashes.make_groups(parts.containment, parts.watch)
     group = metrics.CounterGroup
     yield group(
         "streams",
--- a/src/jujubetiller/node/_inbound_call.py
+++ b/src/jujubetiller/node/_inbound_call.py
@@ -6,24 +6,8 @@
 import attrs
 import result
 
-from jujubetiller import (
-    calls,
-    codes,
-    edge,
-    keys,
-    limits,
-    notices,
-    records,
-    retries,
-    target,
-)
-from jujubetiller.node import (
-    _begin_codes,
-    _hops,
-    _node_parts,
-    _run_answer,
-    _target_headers,
-)
+from jujubetiller import calls, codes, keys, records
+from jujubetiller.node import _begin_codes, _hops, _node_parts, _target_run
 
 _Code = codes.ResultCode
 
@@ -38,14 +22,12 @@
     __slots__ = (
         "attached_key",
         "attached_timer",
-        "context",
         "deadline",
-        "entry",
         "key",
         "parts",
         "reply",
         "request",
-        "target_call",
+        "run",
     )
 
     def __init__(
@@ -66,9 +48,8 @@
         """
 
         self.attached_timer: Any = None
-        self.context: retries.CallContext | None = None
-        self.target_call: target.TargetCall | None = None
-        self.entry: limits.GuardEntry | None = None
+        self.run: _target_run.TargetRun | None = None
+        """Set once the call is submitted."""
 
     def begin(self) -> None:
         """Check the call and submit it to the guard, or refuse it."""
@@ -118,90 +99,20 @@
             )
 
     def submit(self) -> None:
-        """Submit the call to the guard."""
-        self.parts.notices.adopt_limit(
-            self.parts.settings.instance, self.request.rate_limit_per_s
-        )
-        self.entry = limits.GuardEntry(
-            rank=self.request.rank,
-            depth=self.request.depth,
-            deadline=self.deadline,
-            start=self.start,
-            refuse=self.refused,
-            kind=self.request.kind,
-        )
-        self.parts.guard.submit(self.entry)
-        if self.parts.guard.queue_length:
-            self.parts.guard_timer.arm()
-
-    def refused(self, code: codes.ResultCode) -> None:
-        """End a call that the guard refused."""
-        self.end(self.refuse(code, "guard"))
-
-    def start(self) -> None:
-        """Send the call to the target."""
-        request = self.request
-        opened = self.parts.contexts.open(
+        """Send the call to the target, as containment and guard let it."""
+        self.run = _target_run.TargetRun(
+            self.parts,
+            self.request,
             self.deadline,
-            request.priority_class,
-            request.rank,
-            request.tree_id,
-            request.depth,
-            request.retry_tokens,
+            self.make_hop,
+            self.refused,
+            self.end,
         )
-        if isinstance(opened, result.Err):
-            self.release(succeeded=False)
-            self.end(self.refuse(opened.err_value, "contexts"))
-            return
-        self.context = opened.ok_value
-        self.target_call = self.parts.target.send(
-            target.TargetRequest(
-                method=request.method,
-                path=request.path,
-                headers=_target_headers.make_headers(
-                    request, self.context, self.parts.clock
-                ),
-                body=request.body,
-                deadline=self.deadline,
-                echo=(edge.CONTEXT_HEADER, self.context.context_id),
-            ),
-            self.target_ended,
-        )
-
-    def target_ended(self, response: target.TargetResponse) -> None:
-        """Release the slot and turn the target's response into the answer."""
-        code = response.code
-        if _target_headers.is_shed(response):
-            code = _Code.TARGET_SHED
-        assert self.context is not None and self.entry is not None
-        if response.code is _Code.ANSWERED:
-            self.parts.notices.record(
-                self.parts.settings.instance,
-                notices.read_notices(response.headers, _target_headers.NOTICE_NAMES),
-                self.entry.started_at_ms,
-                has_run=code is _Code.ANSWERED,
-            )
-        if code is _Code.DEADLINE_PASSED and self.context.nested_count:
-            # The target was waiting for another service, so the timeout must not
-            # reduce the target's own limit.
-            self.parts.guard.abandoned(self.entry)
-        else:
-            self.release(succeeded=code is _Code.ANSWERED)
-        tokens_returned = self.parts.contexts.close(self.context.context_id)
-        hop = self.make_hop("target", code)
-        answer = _run_answer.make_answer(
-            self.parts, self.request, self.context, code, hop, tokens_returned
-        )
-        if code is _Code.ANSWERED:
-            _run_answer.add_response(answer, response)
-        self.end(answer)
+        self.run.submit()
 
-    def release(self, succeeded: bool) -> None:
-        """Release the slot of the guard."""
-        assert self.entry is not None
-        if self.context is not None:
-            self.entry.nested_ms = self.context.nested_ms
-        self.parts.guard.finished(self.entry, succeeded)
+    def refused(self, code: codes.ResultCode, rule: str) -> None:
+        """End a call that was not sent to the target."""
+        self.end(self.refuse(code, rule))
 
     def refuse(self, code: codes.ResultCode, rule: str) -> calls.CallAnswer:
         """Return the answer for a call that this node did not send to the target."""
@@ -218,7 +129,7 @@
 
     def make_hop(self, rule: str, code: codes.ResultCode) -> records.HopRecord:
         """Return this node's hop record of the call."""
-        entry = self.entry
+        entry = None if self.run is None else self.run.entry
         run_ms = 0.0
         if entry is not None and entry.started_at_ms:
             run_ms = self.parts.clock.now_ms() - entry.started_at_ms
@@ -283,16 +194,12 @@
         self.reply = None
         if self.attached_key is not None:
             self.stop_waiting(self.attached_key)
-        if self.entry is None:
+        if self.run is None:
             return
-        if self.key is not None:
-            if not self.parts.executions.count_attached(
-                self.key
-            ) and self.parts.guard.cancel(self.entry):
-                self.parts.executions.not_run(self.key)
+        if self.key is None:
+            self.run.cancel()
             return
-        if not self.parts.guard.cancel(self.entry) and self.target_call is not None:
-            self.target_call.cancel()
-            self.parts.guard.abandoned(self.entry)
-            if self.context is not None:
-                self.parts.contexts.close(self.context.context_id)
+        if not self.parts.executions.count_attached(self.key) and (
+            self.run.cancel_waiting()
+        ):
+            self.parts.executions.not_run(self.key)
--- a/src/jujubetiller/node/_node.py
+++ b/src/jujubetiller/node/_node.py
@@ -6,7 +6,16 @@
 import logbook
 from twisted.internet import defer, interfaces
 
-from jujubetiller import admin, clock, control, edge, membership, settings, streams
+from jujubetiller import (
+    admin,
+    clock,
+    control,
+    crashes,
+    edge,
+    membership,
+    settings,
+    streams,
+)
 from jujubetiller.node import (
     _build_parts,
     _control_loop,
@@ -17,6 +26,7 @@
     _node_gauge_source,
     _peer_messages,
     _platform_reading,
+    _service_peers,
     _service_site,
 )
 
@@ -45,6 +55,7 @@
         )
         self.ports: dict[str, interfaces.IListeningPort] = {}
         self.exchange: control.ControlExchange | None = None
+        self.crash_exchange: crashes.CrashExchange | None = None
         self.control_loop: _control_loop.ControlLoop | None = None
         self.platform_reading: _platform_reading.PlatformReading | None = None
         self.edges: dict[str, edge.EdgeFactory] = {}
@@ -69,6 +80,15 @@
         self.exchange = self.build_exchange(self.ports["peer"])
         self.control_loop = _control_loop.ControlLoop(parts, self.exchange)
         peer_messages.control_loop = self.control_loop
+        self.crash_exchange = crashes.CrashExchange(
+            self.reactor,
+            parts.clock,
+            parts.random,
+            self.settings.crashes,
+            parts.containment,
+            _service_peers.ServicePeers(parts, self.exchange.table),
+        )
+        peer_messages.crash_exchange = self.crash_exchange
         self.listen("service", _service_site.ServiceSite(parts))
         self.listen("edge", _edge_site.EdgeSite(parts))
         self.listen_admin()
@@ -83,6 +103,7 @@
             )
         )
         self.control_loop.start()
+        self.crash_exchange.start()
         self.platform_reading.start()
         _LOG.info(
             "node {} of service {} in zone {} started",
--- a/src/jujubetiller/node/_node_parts.py
+++ b/src/jujubetiller/node/_node_parts.py
@@ -7,6 +7,7 @@
 
 from jujubetiller import (
     clock,
+    crashes,
     keys,
     limits,
     membership,
@@ -39,6 +40,8 @@
     guard: limits.TargetGuard
     notices: notices.NoticeRecorder
     target: target.TargetClient
+    watch: crashes.TargetWatch
+    containment: crashes.CrashContainment
     contexts: retries.ContextTable
     retry_policy: retries.RetryPolicy
     client_retries: retries.ClientRetries
--- a/src/jujubetiller/node/_peer_messages.py
+++ b/src/jujubetiller/node/_peer_messages.py
@@ -4,7 +4,7 @@
 
 import result
 
-from jujubetiller import calls, frames, streams
+from jujubetiller import calls, crashes, edge, frames, streams
 from jujubetiller.node import _control_loop, _inbound_call, _node_parts
 
 
@@ -14,6 +14,9 @@
     control_loop: _control_loop.ControlLoop
     """Set by ``Node.start`` before the node can receive a message from a peer."""
 
+    crash_exchange: crashes.CrashExchange
+    """Set by ``Node.start`` before the node can receive a message from a peer."""
+
     def __init__(self, parts: _node_parts.NodeParts) -> None:
         self.parts = parts
 
@@ -22,7 +25,10 @@
         request: calls.CallRequest,
         reply: Callable[[calls.CallAnswer], None],
     ) -> Callable[[], None]:
-        """Run a call at the node's own target."""
+        """Run a call at the node's own target, or answer a message to the node."""
+        if request.service == crashes.NODE_SERVICE:
+            reply(self.crash_exchange.answer(request))
+            return edge.do_nothing
         inbound_call = _inbound_call.InboundCall(self.parts, request, reply)
         inbound_call.begin()
         return inbound_call.cancel
--- a/src/jujubetiller/settings/_node_settings.py
+++ b/src/jujubetiller/settings/_node_settings.py
@@ -4,6 +4,7 @@
 
 from jujubetiller.settings import (
     _control_settings,
+    _crash_settings,
     _fields,
     _key_settings,
     _limit_settings,
@@ -43,6 +44,7 @@
     )
     retries: _retry_settings.RetrySettings = _retry_settings.RetrySettings()
     keys: _key_settings.KeySettings = _key_settings.KeySettings()
+    crashes: _crash_settings.CrashSettings = _crash_settings.CrashSettings()
     control: _control_settings.ControlSettings = _control_settings.ControlSettings()
     routing: _routing_settings.RoutingSettings = _routing_settings.RoutingSettings()
     logs: _log_settings.LogSettings = _log_settings.LogSettings()
--- a/tests/node/local_node.py
+++ b/tests/node/local_node.py
@@ -12,7 +12,9 @@
 from jujubetiller import (
     calls,
     codes,
+    crashes,
     edge,
+    membership,
     records,
     routing,
     settings,
@@ -20,7 +22,13 @@
     target,
     tickets,
 )
-from jujubetiller.node import _build_parts, _edge_site, _peer_messages, _service_site
+from jujubetiller.node import (
+    _build_parts,
+    _edge_site,
+    _peer_messages,
+    _service_peers,
+    _service_site,
+)
 from tests import reactor_clock
 from tests.settings import documents
 
@@ -146,6 +154,7 @@
         self.pool, self.target = FakePool(), FakeTarget()
         self.parts.pool = self.pool  # type: ignore[assignment]
         self.parts.target = self.target  # type: ignore[assignment]
+        self.parts.watch.target = self.target  # type: ignore[assignment]
         self.parts.state.ready = True
         own = attrs.evolve(OWN, boot_id=self.parts.state.boot_id)
         self.parts.router.update_instances((own, PEER, OTHER))
@@ -155,6 +164,15 @@
         self.edge = _edge_site.EdgeSite(self.parts)
         self.service = _service_site.ServiceSite(self.parts)
         self.peers = _peer_messages.PeerMessages(self.parts)
+        table = membership.MembershipTable(time_source, self.parts.settings.control)
+        self.peers.crash_exchange = crashes.CrashExchange(
+            self.reactor,
+            time_source,
+            self.parts.random,
+            self.parts.settings.crashes,
+            self.parts.containment,
+            _service_peers.ServicePeers(self.parts, table),
+        )
         self.replies: list[edge.EdgeReply] = []
         self.answers: list[calls.CallAnswer] = []
 
