Let an odd entry of another writer cost no other entry

Callers: an entry at the address of a living instance with a start in the far future took that instance out of use for good, and so did entries under names that no header can carry; a request that was routed to such a name failed with UnicodeEncodeError in its node. An item of the store that could not be read made the whole listing fail, again and again. Cause: fields were checked for their JSON types, and not for what the node does with them. Items with a key are read one by one: one that can't be read is left out, counted (item_malformed) and logged.

--- a/src/jujubetiller/platform/_decoder.py
+++ b/src/jujubetiller/platform/_decoder.py
@@ -5,7 +5,7 @@
 
 import result
 
-from jujubetiller import codes, published, routes, schema
+from jujubetiller import clock, codes, published, routes, schema
 from jujubetiller.platform import _configuration, _instances
 
 _Decoded = TypeVar("_Decoded")
@@ -18,7 +18,8 @@
 class PlatformDecoder(published.ItemDecoder):
     """Decodes the JSON values of the platform's store."""
 
-    def __init__(self) -> None:
+    def __init__(self, unix_clock: clock.Clock | None = None) -> None:
+        self.unix_clock = unix_clock or clock.UnixClock()
         self.decoded: dict[bytes, _DecodedConfiguration] = {}
         """The latest configurations by their values: a large one takes long to decode,
         and several components need it."""
@@ -59,7 +60,10 @@
     ) -> result.Result[published.PublishedInstance, codes.Problem]:
         """Return the instance that ``item`` describes."""
         name = item.key.removeprefix(_instances.PREFIX)
-        return _decode(item, lambda entry: _instances.translate_instance(name, entry))
+        now_ms = self.unix_clock.now_ms()
+        return _decode(
+            item, lambda entry: _instances.translate_instance(name, entry, now_ms)
+        )
 
     def decode_configuration(
         self, item: published.PublishedItem
--- a/src/jujubetiller/platform/_fields.py
+++ b/src/jujubetiller/platform/_fields.py
@@ -17,7 +17,18 @@
 """Larger numbers lose digits in JSON parsers that use floating-point numbers."""
 
 
-def read_duration_ms(document: Any, name: str, default: Any = _REQUIRED) -> float:
+LONGEST_DURATION_MS = 1e12
+"""What the pattern of a duration allows."""
+
+LOWEST_PORT = 1
+
+
+def read_duration_ms(
+    document: Any,
+    name: str,
+    default: Any = _REQUIRED,
+    highest_ms: float = LONGEST_DURATION_MS,
+) -> float:
     """Return a time in milliseconds, written like ``1500ms`` or ``2.5s``."""
     value = read(document, name, str, default)
     if not isinstance(value, str):
@@ -27,7 +38,10 @@
         raise schema.FieldError(
             name, f"allowed are times like 1500ms, got {value!r:.80}"
         )
-    return float(found.group(1)) * _MS_BY_UNIT[found.group(2)]
+    duration_ms = float(found.group(1)) * _MS_BY_UNIT[found.group(2)]
+    if duration_ms > highest_ms:
+        raise schema.FieldError(name, f"allowed are times up to {highest_ms:.0f}ms")
+    return duration_ms
 
 
 def read_integer(
@@ -47,11 +61,15 @@
 
 
 def read_text(document: Any, name: str) -> str:
-    """Return a non-empty text."""
-    value = read(document, name, str)
+    """Return a non-empty text that has a form in UTF-8."""
+    value = str(read(document, name, str))
     if not value:
         raise schema.FieldError(name, "allowed are non-empty texts")
-    return str(value)
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        raise schema.FieldError(name, "allowed are texts without surrogates") from None
+    return value
 
 
 def read_address(document: Any, name: str) -> settings.Address:
@@ -60,7 +78,10 @@
     found = _ADDRESS.fullmatch(text)
     if found is None:
         raise schema.FieldError(name, f"allowed are HOST:PORT, got {text!r:.80}")
-    return settings.Address(found.group(1), int(found.group(2)))
+    address = settings.Address(found.group(1), int(found.group(2)))
+    if address.port < LOWEST_PORT:
+        raise schema.FieldError(name, f"allowed are ports from {LOWEST_PORT} on")
+    return address
 
 
 def read(document: Any, name: str, kind: type, default: Any = _REQUIRED) -> Any:
--- a/src/jujubetiller/platform/_store_answer.py
+++ b/src/jujubetiller/platform/_store_answer.py
@@ -12,6 +12,19 @@
 GONE = 410
 
 
+@attrs.frozen
+class ItemRows:
+    """The items of one answer."""
+
+    items: tuple[published.PublishedItem, ...]
+
+    problems: tuple[str, ...]
+    """Why the rows that hold no item could not be read."""
+
+    last_key: str
+    """The key of the last row, after which the next page begins."""
+
+
 @attrs.frozen
 class StoreAnswer:
     """An answer of the store."""
@@ -25,13 +38,21 @@
     epoch: int
     """The history that the answer is from."""
 
-    def read_items(self, field: str) -> tuple[published.PublishedItem, ...]:
+    def read_items(self, field: str) -> "ItemRows":
         """Return the listed items or the events of a watch in ``field``.
 
-        Raises ``FieldError`` for a missing or invalid field.
+        Raises ``FieldError`` if there is no such list, or a row in it has no key.
         """
-        rows = _fields.read(self.page, field, list)
-        return tuple(_translate_item(row, self.epoch) for row in rows)
+        items: list[published.PublishedItem] = []
+        problems: list[str] = []
+        last_key = ""
+        for row in _fields.read(self.page, field, list):
+            last_key = _fields.read(row, "key", str)
+            try:
+                items.append(_translate_item(row, self.epoch))
+            except ValueError as error:
+                problems.append(f"{last_key!r:.80}: {error}")
+        return ItemRows(tuple(items), tuple(problems), last_key)
 
     def read_revision(self) -> published.Revision:
         """Return the revision of the store as of the answer.
--- a/src/jujubetiller/platform/_store_reader.py
+++ b/src/jujubetiller/platform/_store_reader.py
@@ -64,6 +64,9 @@
         self.bad_answers = 0
         """Answers that could not be decoded or applied."""
 
+        self.bad_rows = 0
+        """Items and events that could not be read."""
+
         self.pending_read: defer.Deferred[Any] | None = None
         self.watched_epoch: int | None = None
         """The history that the watch under way is to continue, if there is one."""
@@ -97,6 +100,7 @@
         """Return the numbers of answers that were not applied, by reason."""
         return {
             "answer_malformed": self.bad_answers,
+            "item_malformed": self.bad_rows,
             "epoch_malformed": self.epoch_reader.malformed,
             "answer_of_older_history": self.position.rejected_answers,
         }
@@ -140,14 +144,16 @@
             answer = await self._get("/kv-range", query, 0.0)
             if answer.status != _store_answer.OK:
                 return f"listing failed: {answer.status}"
-            items += answer.read_items("items")
+            rows = answer.read_items("items")
+            self._record_problems(rows)
+            items += rows.items
             as_of = answer.read_revision()
             revision = as_of if revision is None else min(revision, as_of)
             if as_of.epoch != revision.epoch:
                 return "listing failed: its pages are from two histories"
-            if not answer.page.get("truncated") or not items:
+            if not answer.page.get("truncated") or not rows.last_key:
                 break
-            query["after"] = items[-1].key
+            query["after"] = rows.last_key
         if not self.position.accept_listing(revision):
             return f"listing failed: {revision} can't be watched"
         self._apply(published.Changes(revision, tuple(items), True))
@@ -167,7 +173,9 @@
             return None
         if answer.status != _store_answer.OK:
             return f"watch failed: {answer.status}"
-        events = answer.read_items("events")
+        rows = answer.read_items("events")
+        self._record_problems(rows)
+        events = rows.items
         self.had_changes = bool(events)
         self.position.record_watch()
         self.backoff.reset()
@@ -175,6 +183,15 @@
         self._apply(published.Changes(revision, events, False))
         return None
 
+    def _record_problems(self, rows: _store_answer.ItemRows) -> None:
+        """Count and log the rows that could not be read; the others are applied."""
+        if rows.problems:
+            self.bad_rows += len(rows.problems)
+            _LOG.warning(
+                "store items not read",
+                extra={"items": len(rows.problems), "first": rows.problems[0]},
+            )
+
     def _draw_wait_ms(self) -> int:
         """Return how long the next watch waits; 0 in a history not read before."""
         if not self.position.is_current():
--- a/tests/platform/test_decoder.py
+++ b/tests/platform/test_decoder.py
@@ -69,7 +69,7 @@
 def test_an_unexpected_error_in_one_entry_is_a_problem_of_that_entry(
     error: type[Exception], monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    def fail(name: str, entry: Any) -> None:
+    def fail(name: str, entry: Any, now_ms: float) -> None:
         raise error("out of range")
 
     monkeypatch.setattr(_instances, "translate_instance", fail)
--- a/tests/platform/test_store_reader.py
+++ b/tests/platform/test_store_reader.py
@@ -10,6 +10,7 @@
 from twisted.web import http_headers
 
 from jujubetiller import http_reads, platform, published, settings
+from jujubetiller.platform import _store_answer
 from standins import store
 from tests import reactor_clock
 
@@ -329,3 +330,45 @@
         world.run(0.02)
         world.store.history_from = world.store.revision + 1
     assert len(world.reader.paths) - before < 40
+
+
+BAD_ROWS: list[Any] = [
+    {"key": "b", "value": "no base64", "revision": 3},
+    {"key": "b", "value": "YQ==", "revision": "x"},
+    {"key": "b", "value": None, "revision": 3},
+    {"key": "b\ud800", "value": "YQ==", "revision": 3},
+    {"key": "", "value": "YQ==", "revision": 3},
+]
+
+
+@pytest.mark.parametrize("page_items", [1, 500])
+def test_an_item_that_cannot_be_read_costs_no_other(page_items: int) -> None:
+    world = World(page_items=page_items)
+    for key in ("a", "b", "c"):
+        world.store.put(key, b"1")
+    for item in (world.store.items["b"], world.store.items["c"]):
+        item["value"] = "no base64"
+    world.store.put("d", b"1")
+    world.source.start()
+    world.run()
+    assert set(world.values()) == {"a", "d"}
+    world.store.put("e", b"1")
+    world.store.events[-1]["value"] = None
+    world.store.put("f", b"1")
+    world.run()
+    assert set(world.values()) == {"a", "d", "f"}
+    assert world.source.read_counters()["item_malformed"] == 3
+    assert world.source.read_counters()["answer_malformed"] == 0
+
+
+@pytest.mark.parametrize("row", BAD_ROWS)
+def test_a_listing_with_a_row_that_cannot_be_read_is_applied(row: Any) -> None:
+    answer = _store_answer.StoreAnswer(
+        200,
+        {"items": [row, {"key": "c", "value": "YQ==", "revision": 3}], "as_of": 4},
+        1,
+    )
+    rows = answer.read_items("items")
+    assert [item.key for item in rows.items] == ["c"]
+    assert len(rows.problems) == 1
+    assert rows.last_key == "c"
