--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -2,7 +2,6 @@
 
 import functools
 from collections.abc import Callable
-from typing import Any
 
 import attrs
 import result
@@ -13,26 +12,16 @@
     _call_reports,
     _ingress_call,
     _mesh_parts,
+    _overdue_timer,
     _replies,
     _request,
-    _request_log,
+    _request_end,
 )
 
 _Code = codes.ResultCode
 
-OVERDUE_FACTOR = 6.0
-"""After this many times the usual duration, an attempt's answer may be lost."""
-
-MIN_OVERDUE_MS = 150.0
-
-MAX_OVERDUE_QUEUE_DELAY_MS = 20.0
-"""With longer queueing delays, a slow answer does not indicate a lost one."""
-
 _NO_INSTANCE = result.Err(_Code.NO_INSTANCE)
 
-RATE_LIMITED_DELAY_MS = 100.0
-"""The queueing delay that is recorded for a request that no instance had room for."""
-
 
 class EgressCall:
     """Sends a request to one instance after another and answers the client once."""
@@ -89,8 +78,7 @@
 
         self.sent_at_ms = 0.0
         self.cancel_attempt: Callable[[], None] | None = None
-        self.overdue_timer: Any = None
-        """The timer after which an unanswered attempt is retried."""
+        self.overdue_timer = _overdue_timer.OverdueTimer(parts, self.retry_overdue)
 
     def start(self) -> None:
         """Make the first attempt, unless the route's throttle refuses the request."""
@@ -140,7 +128,8 @@
         request.deadline_left_ms = self.deadline.at_ms - self.sent_at_ms
         request.rate_limit_per_s = self.parts.router.known_rate_limit(instance)
         self.parts.router.record_sent(instance)
-        self.start_overdue_timer()
+        if self.attempts.may_retry_unanswered():
+            self.overdue_timer.start(self.service, self.route.name, self.deadline)
         answered = functools.partial(self.attempt_answered, request.attempt)
         own = self.parts.directory.own
         if own is not None and own.instance == instance.instance:
@@ -153,27 +142,10 @@
         )
         self.cancel_attempt = outgoing.cancel
 
-    def start_overdue_timer(self) -> None:
-        """Start the timer that detects a lost answer, if a retry is possible."""
-        if not self.attempts.may_retry_unanswered():
-            return
-        usual_ms = self.parts.router.average_ms(self.service, self.route.name)
-        if usual_ms is None:
-            return
-        overdue_ms = max(MIN_OVERDUE_MS, OVERDUE_FACTOR * usual_ms)
-        if overdue_ms + usual_ms < self.deadline.left_ms(self.parts.clock):
-            self.overdue_timer = self.parts.reactor.callLater(
-                overdue_ms / 1000.0, self.retry_overdue
-            )
-
     def retry_overdue(self) -> None:
-        """Cancel an unanswered attempt and retry, unless queues explain the delay."""
-        self.overdue_timer = None
+        """Cancel an unanswered attempt and retry it, if another instance may."""
         cancel = self.cancel_attempt
-        if cancel is None or self.parts.delays.read() > MAX_OVERDUE_QUEUE_DELAY_MS:
-            return
-        if self.parts.state.draining:
-            # A planned stop must not cancel a request that a target may be running.
+        if cancel is None:
             return
         if not self.parts.router.has_alternative(self.service, frozenset(self.tried)):
             return
@@ -183,12 +155,6 @@
         cancel()
         self.answered(calls.make_refusal(_Code.ANSWER_OVERDUE))
 
-    def cancel_overdue_timer(self) -> None:
-        """Cancel the timer of an attempt that has ended."""
-        overdue_timer, self.overdue_timer = self.overdue_timer, None
-        if overdue_timer is not None:
-            overdue_timer.cancel()
-
     def attempt_answered(self, number: int, answer: calls.CallAnswer) -> None:
         """Handle the answer to attempt ``number``, unless that attempt is over.
 
@@ -204,7 +170,7 @@
         if self.reply is None or instance is None:
             return
         self.cancel_attempt = None
-        self.cancel_overdue_timer()
+        self.overdue_timer.cancel()
         took_ms = self.parts.clock.now_ms() - self.sent_at_ms
         _call_reports.report_attempt(
             self.parts, instance, answer, took_ms, self.route.name
@@ -237,48 +203,23 @@
         if answer.outcome is codes.Outcome.NOT_RUN and self.failed_answer is not None:
             # The retry did not run, but an earlier attempt did.
             answer = self.failed_answer
-        if answer.code is _Code.RATE_LIMITED:
-            # The service lacks room although no call waits: entry nodes of requests
-            # that need it are to admit fewer.
-            self.parts.delays.record(RATE_LIMITED_DELAY_MS)
         edge_reply = _replies.render_answer(answer, self.parts.random)
-        took_ms = self.parts.clock.now_ms() - self.started_at_ms
-        self.parts.metrics.observe_call(took_ms)
-        self.parts.metrics.count_outcome(
-            self.route.name, self.route.priority_class, answer.outcome
+        _request_end.report_end(
+            self.parts, self.throttle, self.summarize(), answer, edge_reply.status
         )
-        self.parts.metrics.count_refusal(answer.code.value)
-        self.log_unless_usual(answer, edge_reply.status, took_ms)
-        if self.tried and _call_reports.shows_load(answer.code):
-            failure = _call_reports.weigh_failure(
-                edge_reply.status, took_ms, self.route.latency_objective_ms
-            )
-            self.throttle.record(failure, self.queue_delay_ms)
         reply(edge_reply)
 
-    def log_unless_usual(
-        self, answer: calls.CallAnswer, status: int, took_ms: float
-    ) -> None:
-        """Log the end, unless the first attempt succeeded within the objective."""
-        is_late = took_ms > self.route.latency_objective_ms
-        is_failure = status >= calls.LOWEST_FAILURE_STATUS
-        if len(self.tried) == 1 and not is_late and not is_failure:
-            return
-        _request_log.log_end(
-            _request_log.RequestEnd(
-                request=self.request_id,
-                route=self.route.name,
-                service=self.service,
-                answer=answer,
-                status=status,
-                arrivals=self.attempts.arrivals,
-                instances=self.tried,
-                took_ms=took_ms,
-                left_ms=self.deadline.left_ms(self.parts.clock),
-                queue_delay_ms=self.queue_delay_ms,
-                admitted_share=self.throttle.share,
-                version=self.parts.configuration.version,
-            )
+    def summarize(self) -> _request_end.RequestSummary:
+        """Return the request as it stands now."""
+        return _request_end.RequestSummary(
+            request_id=self.request_id,
+            route=self.route,
+            service=self.service,
+            tried=self.tried,
+            arrivals=self.attempts.arrivals,
+            took_ms=self.parts.clock.now_ms() - self.started_at_ms,
+            left_ms=self.deadline.left_ms(self.parts.clock),
+            queue_delay_ms=self.queue_delay_ms,
         )
 
     def cancel(self) -> None:
@@ -286,7 +227,7 @@
         if self.reply is None:
             return
         self.reply = None
-        self.cancel_overdue_timer()
+        self.overdue_timer.cancel()
         self.parts.state.requests_under_way -= 1
         if self.instance is not None:
             self.parts.router.record_answer(
--- a/src/jujubetiller/node/_service_peers.py
+++ b/src/jujubetiller/node/_service_peers.py
@@ -1,8 +1,6 @@
 """The other nodes beside instances of the node's service."""
 
-from collections.abc import Callable
-
-from jujubetiller import calls, crashes, membership, settings
+from jujubetiller import crashes, membership, settings
 from jujubetiller.node import _node_parts
 
 
@@ -12,24 +10,14 @@
     def __init__(
         self, parts: _node_parts.NodeParts, table: membership.MembershipTable
     ) -> None:
-        self.parts = parts
+        super().__init__(parts)
+        self.own = parts.settings
         self.table = table
 
     def list_addresses(self) -> list[settings.Address]:
         """Return the addresses of the nodes that are known now."""
-        own = self.parts.settings
         return [
             settings.Address(record.host, record.peer_port)
-            for record in self.table.instances_of(own.service)
-            if record.instance != own.instance
+            for record in self.table.instances_of(self.own.service)
+            if record.instance != self.own.instance
         ]
-
-    def send_call(
-        self,
-        address: settings.Address,
-        request: calls.CallRequest,
-        deadline: calls.Deadline,
-        on_answer: Callable[[calls.CallAnswer], None],
-    ) -> None:
-        """Send a call to one of them over its stream."""
-        self.parts.pool.send_call(address, request, deadline, on_answer)
