--- a/src/jujubetiller/crashes/_crash_containment.py
+++ b/src/jujubetiller/crashes/_crash_containment.py
@@ -16,6 +16,10 @@
 
 _Message = _crash_message.CrashMessage
 
+MAX_WAIT_SHARE = 0.5
+"""The part of its time that a call may wait for its trial; the rest is for its run, or
+for its caller to come again."""
+
 CHECK_INTERVAL_MS = 25.0
 """How often deadlines and trials are checked while calls wait for a trial."""
 
@@ -38,16 +42,20 @@
         watch: _target_watch.TargetWatch,
         process_name: str,
         identity_headers: tuple[str, ...],
+        is_leaving: Callable[[], bool],
     ) -> None:
         """Contain what the target of ``watch`` runs.
 
         ``process_name`` is unique among the processes of all nodes, also across
         restarts. ``identity_headers`` are the names, in lower case, of the headers in
-        which copies of one request agree.
+        which copies of one request agree. ``is_leaving`` returns whether the target is
+        about to stop as planned.
         """
         self.reactor = reactor
+        self.clock = time_source
         self.process_name = process_name
         self.identity_headers = identity_headers
+        self.is_leaving = is_leaving
         self.evidence = _crash_evidence.CrashEvidence(time_source, crash_settings)
         self.queue = _suspect_queue.SuspectQueue(
             time_source, self.evidence, crash_settings, self._announce_trial
@@ -70,8 +78,13 @@
         refuse: Callable[[codes.ResultCode], None],
     ) -> _suspect_call.SuspectCall:
         """Return a call of ``request`` for ``submit``."""
+        wait_ms = MAX_WAIT_SHARE * deadline.left_ms(self.clock)
         return _suspect_call.SuspectCall(
-            self.identify(request), deadline, start, refuse
+            self.identify(request),
+            deadline,
+            calls.Deadline.after(self.clock, wait_ms),
+            start,
+            refuse,
         )
 
     def submit(self, call: _suspect_call.SuspectCall) -> None:
@@ -100,7 +113,12 @@
         self.queue.cancel(call)
 
     def record_crash(self, lost: list[_target_watch.LostCall]) -> None:
-        """Record the crash of the own target, and tell the other nodes."""
+        """Record the crash of the own target, and tell the other nodes.
+
+        The end of a target that leaves is no crash, whatever it still ran.
+        """
+        if self.is_leaving():
+            return
         number = self.evidence.counts["crash"]
         report = self.evidence.record_crash(
             f"{self.process_name}.{number}",
@@ -134,9 +152,12 @@
         return _fingerprint.compute_request_fingerprint(request, identity)
 
     def _record_response(self, fingerprint: int) -> None:
+        was_blamed = self.evidence.is_blamed(fingerprint)
         changed = self.evidence.record_response(fingerprint)
-        if changed:
+        if was_blamed:
+            # The others learn in the next comparison that a mere suspect is cleared.
             self._send(reports=tuple(changed))
+        if changed:
             self.queue.advance()
 
     def _announce_trial(self, trial: _crash_message.Trial) -> None:
--- a/src/jujubetiller/crashes/_crash_evidence.py
+++ b/src/jujubetiller/crashes/_crash_evidence.py
@@ -63,6 +63,10 @@
             return _Standing.SUSPECT
         return _Standing.CLEAR
 
+    def is_blamed(self, fingerprint: int) -> bool:
+        """Return whether a request is blamed for crashes, also if it may be tried."""
+        return fingerprint in self.verdicts
+
     def record_arrival(self, fingerprint: int) -> None:
         """Count a copy of a suspect that has come."""
         self.arrivals[fingerprint] += 1
@@ -109,12 +113,14 @@
 
     def record_response(self, fingerprint: int) -> list[_Report]:
         """Clear a request that ended with a response; return the changed reports."""
+        if fingerprint not in self.suspects and fingerprint not in self.verdicts:
+            return []
         changed = [
             each.clear(fingerprint)
             for each in self.reports.all()
             if fingerprint in each.list_suspects()
         ]
-        if fingerprint in self.verdicts:
+        if self.is_blamed(fingerprint):
             self.counts["acquitted"] += 1
             _LOG.warning(
                 "blamed request cleared", extra={"fingerprint": describe(fingerprint)}
--- a/src/jujubetiller/crashes/_suspect_call.py
+++ b/src/jujubetiller/crashes/_suspect_call.py
@@ -25,6 +25,10 @@
 
     fingerprint: int
     deadline: calls.Deadline
+
+    waits_until: calls.Deadline
+    """When the call is refused if it has not started."""
+
     start: Callable[[], None]
     refuse: Callable[[codes.ResultCode], None]
     state: SuspectState = SuspectState.WAITING
--- a/src/jujubetiller/crashes/_suspect_queue.py
+++ b/src/jujubetiller/crashes/_suspect_queue.py
@@ -92,7 +92,7 @@
     def _advance_once(self) -> bool:
         """Handle one waiting call; return whether there was one to handle."""
         for call in self.waiting:
-            if call.deadline.has_passed(self.clock):
+            if call.waits_until.has_passed(self.clock):
                 self._end_waiting(call)
                 call.refuse(_Code.SUSPECT_NOT_TRIED)
                 return True
--- a/src/jujubetiller/mesh/_build_parts.py
+++ b/src/jujubetiller/mesh/_build_parts.py
@@ -63,6 +63,7 @@
         requires_echo=True,
     )
     watch = crashes.TargetWatch(time_source, target_client)
+    recorder = notices.NoticeRecorder(guard, headers.notices)
     return _mesh_parts.MeshParts(
         reactor=reactor,
         clock=time_source,
@@ -75,7 +76,7 @@
         router=router,
         guard=guard,
         guard_timer=limits.GuardTimer(reactor, time_source, guard),
-        notices=notices.NoticeRecorder(guard, headers.notices),
+        notices=recorder,
         target=target_client,
         watch=watch,
         containment=crashes.CrashContainment(
@@ -85,6 +86,7 @@
             watch,
             f"{node_settings.node}.{boot_id}",
             (HOST, headers.caller_service),
+            lambda: recorder.is_leaving or directory.is_own_leaving(),
         ),
         budget=_retry_budget.RetryBudget(
             time_source, node_settings.repeats, lambda: directory.node_count
--- a/src/jujubetiller/mesh/_instance_directory.py
+++ b/src/jujubetiller/mesh/_instance_directory.py
@@ -107,6 +107,10 @@
         if len(self.removed) > MAX_REMOVED:
             del self.removed[next(iter(self.removed))]
 
+    def is_own_leaving(self) -> bool:
+        """Return whether the own instance is said to leave, or is not listed."""
+        return self.own is None or self.own.draining
+
     def peers(self) -> list[settings.Address]:
         """Return the addresses of the other nodes, in a fixed order."""
         hosts = {
--- a/src/jujubetiller/node/_build_parts.py
+++ b/src/jujubetiller/node/_build_parts.py
@@ -50,6 +50,7 @@
     guard = limits.build_guard(time_source, node_settings.limits)
     target_client = target.TargetClient(reactor, time_source, node_settings.target)
     watch = crashes.TargetWatch(time_source, target_client)
+    recorder = notices.NoticeRecorder(guard, _target_headers.NOTICE_NAMES)
     ticket_state = tickets.TicketState(node_settings.control)
     return _node_parts.NodeParts(
         reactor=reactor,
@@ -63,7 +64,7 @@
             time_source, random_source, node_settings.routing, node_settings.zone
         ),
         guard=guard,
-        notices=notices.NoticeRecorder(guard, _target_headers.NOTICE_NAMES),
+        notices=recorder,
         target=target_client,
         watch=watch,
         containment=crashes.CrashContainment(
@@ -73,6 +74,7 @@
             watch,
             f"{node_settings.instance}.{boot_id}",
             NO_IDENTITY_HEADERS,
+            lambda: recorder.is_leaving,
         ),
         contexts=retries.ContextTable(
             random_source,
--- a/src/jujubetiller/target/_target_client.py
+++ b/src/jujubetiller/target/_target_client.py
@@ -21,6 +21,10 @@
 with an unknown outcome."""
 
 
+PROBE_TIMEOUT_MS = 200.0
+"""Lost calls wait for the probe; without a listener it is refused at once."""
+
+
 class TargetClient:
     """Sends requests to the target over a pool of persistent connections."""
 
@@ -82,7 +86,7 @@
             self.settings.address.host,
             self.settings.address.port,
             _target_probe.TargetProbe(on_end),
-            timeout=self.settings.connect_timeout_ms / 1000.0,
+            timeout=PROBE_TIMEOUT_MS / 1000.0,
         )
 
     def pop_idle(
--- a/tests/mesh/test_crashing_requests.py
+++ b/tests/mesh/test_crashing_requests.py
@@ -1,5 +1,6 @@
 """Guards against requests that crash one instance of their service after the other."""
 
+from jujubetiller import calls, crashes
 from standins.fleet import mesh_fleet
 
 SERVICES = {f"{s}-{zone}": s for s in ("booth", "ledger") for zone in (1, 2, 3)}
@@ -148,3 +149,18 @@
         throttle = fleet.nodes[name].parts.throttles.find("get", mesh_fleet.READ_CLASS)
         assert throttle.share == 1.0
         assert throttle.failure_rate_short_queue < 0.05
+
+
+def test_a_request_that_a_leaving_instance_cuts_off_is_no_suspect() -> None:
+    """Guards against requests that are run apart because of planned stops."""
+    fleet = start_fleet()
+    fleet.publish_instance("booth-1", state="draining", sequence=9)
+    fleet.network.run_for(50.0)
+    node = fleet.nodes["booth-1"]
+    lost = [crashes.LostCall(make_call(), "r1", 0.0, lambda ended: None)]
+    node.parts.watch.target_ended(lost)
+    assert node.parts.containment.is_idle()
+
+
+def make_call() -> calls.CallRequest:
+    return calls.CallRequest("booth", "GET", "/get/1", "get", 2, 256, True, 100.0)
