Try no suspect at the last instance of a service

Cause: a trial at the only sound instance left costs the whole service. Change: a suspect waits, or is refused as not run, while all other instances of the service have crashed within 5 s. test_an_instance_is_left_while_the_cause_of_two_crashes_is_not_known fails with the check switched off.

--- a/src/jujubetiller/crashes/_crash_containment.py
+++ b/src/jujubetiller/crashes/_crash_containment.py
@@ -20,6 +20,9 @@
 """The part of its time that a call may wait for its trial; the rest is for its run, or
 for its caller to come again."""
 
+RETURN_MS = 5_000.0
+"""Time after a crash in which an instance may still be away."""
+
 CHECK_INTERVAL_MS = 25.0
 """How often deadlines and trials are checked while calls wait for a trial."""
 
@@ -28,6 +31,11 @@
     """Send nothing; the default before the node has peers."""
 
 
+def _count_none() -> int:
+    """Return 0; the default before the node has peers."""
+    return 0
+
+
 class CrashContainment:
     """Decides how the calls of a node's own target are run after crashes.
 
@@ -58,8 +66,15 @@
         self.is_leaving = is_leaving
         self.evidence = _crash_evidence.CrashEvidence(time_source, crash_settings)
         self.queue = _suspect_queue.SuspectQueue(
-            time_source, self.evidence, crash_settings, self._announce_trial
+            time_source,
+            self.evidence,
+            crash_settings,
+            self._announce_trial,
+            self.may_try,
         )
+        self.count_peers: Callable[[], int] = _count_none
+        """Returns the number of the other nodes beside instances of the service."""
+
         self.send: Callable[[_Message], None] = _send_nothing
         """Sends a message to the other nodes beside instances of the service."""
 
@@ -92,6 +107,13 @@
         self.queue.submit(call)
         self._arm()
 
+    def may_try(self) -> bool:
+        """Return whether another instance serves if a suspect ends the own one."""
+        since_ms = self.clock.now_ms() - RETURN_MS
+        crashed = self.evidence.reports.list_crashed_since(since_ms)
+        peers = self.count_peers()
+        return not peers or len(crashed - {self.process_name}) < peers
+
     def record_end(
         self,
         call: _suspect_call.SuspectCall | None,
--- a/src/jujubetiller/crashes/_crash_exchange.py
+++ b/src/jujubetiller/crashes/_crash_exchange.py
@@ -57,6 +57,7 @@
 
         self.is_stopped = False
         containment.send = self.send_to_all
+        containment.count_peers = self.count_peers
 
     def start(self) -> None:
         """Start the periodic comparison."""
@@ -77,6 +78,10 @@
         for address in addresses:
             self._compare(address)
 
+    def count_peers(self) -> int:
+        """Return the number of the other nodes of the service."""
+        return len(self.peers.list_addresses())
+
     def send_to_all(self, message: _Message) -> None:
         """Send a message to all other nodes of the service."""
         for address in self.peers.list_addresses():
--- a/src/jujubetiller/crashes/_crash_report.py
+++ b/src/jujubetiller/crashes/_crash_report.py
@@ -25,6 +25,11 @@
     cleared: frozenset[int] = frozenset()
     """Fingerprints of ``running`` that have since ended with a response."""
 
+    @property
+    def process_name(self) -> str:
+        """The process that reported the crash, of which the id begins with the name."""
+        return self.crash_id.rpartition(".")[0]
+
     def merge(self, other: "CrashReport") -> "CrashReport":
         """Return what two copies tell together, whichever comes first."""
         known = [each.blamed for each in (self, other) if each.blamed is not None]
--- a/src/jujubetiller/crashes/_crash_reports.py
+++ b/src/jujubetiller/crashes/_crash_reports.py
@@ -44,6 +44,10 @@
         for crash_id in crash_ids:
             del self.by_id[crash_id]
 
+    def list_crashed_since(self, at_ms: float) -> set[str]:
+        """Return the processes whose instances have crashed since ``at_ms``."""
+        return {each.process_name for each in self.by_id.values() if each.at_ms > at_ms}
+
     def count_blamed(self) -> collections.Counter[int]:
         """Return the number of crashes of each request that is blamed for some."""
         return collections.Counter(
--- a/src/jujubetiller/crashes/_suspect_queue.py
+++ b/src/jujubetiller/crashes/_suspect_queue.py
@@ -30,6 +30,7 @@
         evidence: _crash_evidence.CrashEvidence,
         crash_settings: settings.CrashSettings,
         announce: Callable[[_crash_message.Trial], None],
+        may_try: Callable[[], bool],
     ) -> None:
         self.clock = time_source
         self.evidence = evidence
@@ -37,6 +38,9 @@
         self.announce = announce
         """Called with each trial that begins or ends at this node."""
 
+        self.may_try = may_try
+        """Returns whether the service can spare this node's instance now."""
+
         self.waiting: list[_Call] = []
         self.running: _Call | None = None
         self.trials_elsewhere: dict[int, float] = {}
@@ -104,7 +108,7 @@
         return self._start_next()
 
     def _start_next(self) -> bool:
-        if self.running is not None:
+        if self.running is not None or not self.waiting or not self.may_try():
             return False
         self._drop_ended_trials()
         free = [
--- a/tests/crashes/test_suspect_queue.py
+++ b/tests/crashes/test_suspect_queue.py
@@ -14,12 +14,14 @@
         self.trials: list[tuple[int, float]] = []
         self.started: list[int] = []
         self.refusals: list[tuple[int, codes.ResultCode]] = []
+        self.can_spare_instance = True
         crash_settings = settings.CrashSettings(**bounds)
         super().__init__(
             self.manual_clock,
             crashes.CrashEvidence(self.manual_clock, crash_settings),
             crash_settings,
             lambda trial: self.trials.append((trial.fingerprint, trial.lasts_ms)),
+            lambda: self.can_spare_instance,
         )
         self.evidence.record_crash("first", [ONE, TWO, THREE])
 
@@ -110,3 +112,14 @@
     queue.cancel(running)
     assert queue.started == [ONE, THREE]
     assert queue.refusals == []
+
+
+def test_no_suspect_runs_at_the_last_instance_of_the_service() -> None:
+    queue = Queue()
+    queue.can_spare_instance = False
+    queue.send(ONE)
+    queue.send(9)
+    assert queue.started == [9]
+    queue.can_spare_instance = True
+    queue.advance()
+    assert queue.started == [9, ONE]
--- a/tests/mesh/test_crashing_requests.py
+++ b/tests/mesh/test_crashing_requests.py
@@ -80,6 +80,21 @@
     assert share_served(fleet, since_ms) > 0.99
 
 
+def test_an_instance_is_left_while_the_cause_of_two_crashes_is_not_known() -> None:
+    """Guards against a trial that ends the last instance of the service."""
+    fleet = start_fleet()
+    fleet.crash_plan.after_ms = 100.0
+    started_ms = fleet.network.now_ms
+    for entry in ("ledger-1", "ledger-2"):
+        fleet.send(entry, name="deadly")
+        fleet.send(entry, name="beside")
+    play(fleet, 4_000.0)
+    fleet.network.run_for(2_000.0)
+    ended = {run.instance for run in fleet.crash_plan.crashes}
+    assert ended == {"booth-1", "booth-2"}
+    assert share_served(fleet, started_ms) > 0.95
+
+
 def test_two_such_requests_are_told_apart() -> None:
     fleet = start_fleet()
     fleet.crash_plan.paths = {"/get/deadly", "/get/fatal"}
