Send requests that crash instances to the real programs

Stand-in instances of the process site reset their connections and close their port for 3 s on chosen paths. A test with real node processes: after two crashes all nodes blame the request, refuse it as not run, and proper requests go on. The soak draws such a request as one of its faults (a tenth of the requests for 5 s, idempotent or not).

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from soak import _context, _link, _seeds, _site
+from soak import _context, _link, _seeds, _site, _traffic
 
 RESTART_PAUSE_S = 0.2
 POLL_S = 0.05
@@ -24,6 +24,9 @@
 REWRITE_S = 0.7
 """Time after a restore until operators and instances write again."""
 
+CRASHING_S = 5.0
+"""How long copies of a request come that crashes its instances."""
+
 RATE_LIMITS = ("0.5", "3", "12")
 DELAYS_S = (0.02, 0.1, 0.3)
 
@@ -208,6 +211,20 @@
     context.site.run_command("fault", instance=node.name, fault="none")
 
 
+async def send_crashing_request(context: _context.Context) -> None:
+    """Let copies of one request crash the instances that run them."""
+    if context.site.crashing is not None:
+        return
+    route = context.source.choice(_traffic.NON_IDEMPOTENT[:1] + _traffic.ROUTES[:1])
+    name = f"crashing-{len(context.events)}"
+    context.note(f"/{route}/{name} crashes instances")
+    context.site.run_command("crash_on", paths=[f"/{route}/{name}"])
+    context.site.crashing = (route, name)
+    await context.sleep(CRASHING_S)
+    context.site.crashing = None
+    context.note(f"crashes: {len(context.site.run_command('crashes'))}")
+
+
 async def delay_link(context: _context.Context) -> None:
     """Delay the bytes on a link."""
     link = _pick_link(context, "delay")
@@ -276,12 +293,15 @@
 def list_faults(seed: int, is_planned: bool) -> tuple[Fault, ...]:
     """Return the faults that a run draws from.
 
-    Seeds that failed before there were notices or restores keep the faults that they
-    failed with.
+    Seeds that failed before there were notices, restores or crashing requests keep the
+    faults that they failed with.
     """
     table = _PLANNED if is_planned else _UNPLANNED
     if seed in _seeds.SEEDS_BEFORE_NOTICES:
         return table
     if seed in _seeds.SEEDS_BEFORE_RESTORES or is_planned:
         return (*table, leave_instance, limit_instance)
-    return (*table, leave_instance, limit_instance, restore_store)
+    table = (*table, leave_instance, limit_instance, restore_store)
+    if seed in _seeds.SEEDS_BEFORE_CRASHES:
+        return table
+    return (*table, send_crashing_request)
--- a/soak/_seeds.py
+++ b/soak/_seeds.py
@@ -14,7 +14,14 @@
 )
 """They failed before stores were restored from copies."""
 
-FAILED_SEEDS = (*SEEDS_BEFORE_NOTICES, *SEEDS_BEFORE_RESTORES)
+SEEDS_BEFORE_CRASHES: tuple[int, ...] = ()
+"""They failed before there were requests that crash instances."""
+
+FAILED_SEEDS = (
+    *SEEDS_BEFORE_NOTICES,
+    *SEEDS_BEFORE_RESTORES,
+    *SEEDS_BEFORE_CRASHES,
+)
 
 # Seeds 26, 27, 29 and 32 failed by the cause of seed 16. Seed 33 sent a signal before
 # the interpreter ran the first line of the program, which no program can handle.
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -64,6 +64,9 @@
         self.version = FIRST_VERSION
         self.born_ms = 1_700_000_000_000
         self.ports: list[Any] = []
+        self.crashing: tuple[str, str] | None = None
+        """Route and name of a request that crashes the instances which run it."""
+
         self.nodes = {
             name: Node(name, f"127.0.5.{number}", f"127.0.6.{number}")
             for number, name in enumerate(make_names(per_service), 1)
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -21,6 +21,10 @@
 """The share of requests that use the newest route."""
 
 
+CRASHING_SHARE = 0.1
+"""The share of copies of a request that crashes instances, while there is one."""
+
+
 @attrs.define
 class Attempt:
     """One request of a client and how it ended."""
@@ -40,10 +44,13 @@
 
     body: bytes = b""
 
+    name: str = ""
+    """The last part of the path; empty for one that is unique to this request."""
+
     @property
     def path(self) -> str:
-        """The path, unique to this request."""
-        return f"/{self.route}/{self.request}"
+        """The path of the request."""
+        return f"/{self.route}/{self.name or self.request}"
 
 
 class Traffic:
@@ -81,6 +88,10 @@
         if self.source.random() < NEWEST_SHARE:
             route = f"v{self.site.version}"
         attempt = Attempt(request, route, name, node.lifetime, self.reactor.seconds())
+        crashing = self.site.crashing
+        if crashing is not None and self.source.random() < CRASHING_SHARE:
+            route, attempt.name = crashing
+            attempt.route = route
         self.attempts.append(attempt)
         url = f"http://{node.inner}:{self.site.port('egress')}{attempt.path}"
         headers = {
--- a/standins/mesh_site/__init__.py
+++ b/standins/mesh_site/__init__.py
@@ -1,6 +1,7 @@
 """Stand-ins for the store and the instances that mesh nodes use, in one process."""
 
 from standins.mesh_site._crash_plan import CrashPlan, Run
+from standins.mesh_site._instance_listener import InstanceListener
 from standins.mesh_site._instance_site import InstanceSite
 from standins.mesh_site._local_mesh_site import HOSTS, LocalMeshSite, find_port_base
 from standins.mesh_site._mesh_process import MeshProcess
@@ -11,6 +12,7 @@
     "CrashPlan",
     "Run",
     "HOSTS",
+    "InstanceListener",
     "InstanceSite",
     "LocalMeshSite",
     "MeshProcess",
--- a/standins/mesh_site/__main__.py
+++ b/standins/mesh_site/__main__.py
@@ -46,15 +46,21 @@
     arguments = process.parse_arguments(sys.argv[1], Arguments)
     store_site = mesh_site.StoreSite(process.reactor, store.PublishedStore())
     instances = {}
+    crash_plan = mesh_site.CrashPlan()
     for instance in arguments.instances:
         site = mesh_site.InstanceSite(
             process.reactor, instance.name, instance.service, arguments.work_ms
         )
         instances[instance.name] = site
-        process.reactor.listenTCP(
-            arguments.app_port, make_factory(site), interface=instance.host
-        )
-    operator = mesh_site.OperatorSite(store_site, instances)
+        mesh_site.InstanceListener(
+            process.reactor,
+            site,
+            crash_plan,
+            make_factory,
+            instance.host,
+            arguments.app_port,
+        ).open()
+    operator = mesh_site.OperatorSite(store_site, instances, crash_plan)
     process.run(
         {
             "store": process.listen(make_factory(store_site)),
--- a/standins/mesh_site/_instance_site.py
+++ b/standins/mesh_site/_instance_site.py
@@ -68,8 +68,7 @@
             reply(edge.EdgeReply(503, headers, b""))
             return edge.do_nothing
         self.runs[request] += 1
-        self.begin_run(message.path)
-        if self.fault == "lost":
+        if self.begin_run(message.path) or self.fault == "lost":
             return edge.do_nothing
         body = json.dumps({"instance": self.name, "path": message.path}).encode()
         stamp = ("Jujubetiller-Server-Stamp", f"{self.name}.1")
@@ -86,13 +85,15 @@
 
         return cancel
 
-    def begin_run(self, path: str) -> None:
-        """Record the run, and crash a little later if the plan says so."""
+    def begin_run(self, path: str) -> bool:
+        """Record the run; return whether it crashes the instance a little later."""
         plan = self.crash_plan
         run = _crash_plan.Run(self.reactor.seconds() * 1000.0, self.name, path)
         plan.runs.append(run)
-        if path in plan.paths:
-            self.reactor.callLater(plan.after_ms / 1000.0, self.end_with, run)
+        if path not in plan.paths:
+            return False
+        self.reactor.callLater(plan.after_ms / 1000.0, self.end_with, run)
+        return True
 
     def end_with(self, run: _crash_plan.Run) -> None:
         """End the instance because of ``run``."""
--- a/standins/mesh_site/_operator_site.py
+++ b/standins/mesh_site/_operator_site.py
@@ -5,7 +5,12 @@
 from typing import Any
 
 from jujubetiller import edge
-from standins.mesh_site import _instance_site, _stand_in_site, _store_site
+from standins.mesh_site import (
+    _crash_plan,
+    _instance_site,
+    _stand_in_site,
+    _store_site,
+)
 
 
 class OperatorSite(_stand_in_site.StandInSite):
@@ -13,6 +18,8 @@
 
     ``/restore`` returns the store to the state before its last changes, as many as
     ``changes`` says; it answers the revision then.
+    ``/crash_on`` sets the paths of the requests that crash their instances, and
+    ``/crashes`` returns the paths and the instances of the crashes so far.
     ``/notices`` sets what an instance says about itself in its answers. ``/runs``
     returns the number of runs of each request, ``/load`` that of each instance, and
     ``/limits`` the arrivals of each instance while it named a rate limit.
@@ -22,8 +29,10 @@
         self,
         store_site: _store_site.StoreSite,
         instances: Mapping[str, _instance_site.InstanceSite],
+        crash_plan: _crash_plan.CrashPlan,
     ) -> None:
         self.store_site = store_site
+        self.crash_plan = crash_plan
         self.instances = instances
         self.commands: dict[str, Callable[[Any], Any]] = {
             "/put": self.put,
@@ -31,6 +40,8 @@
             "/down": self.set_down,
             "/restore": self.restore_store,
             "/fault": self.set_fault,
+            "/crash_on": self.set_crash_paths,
+            "/crashes": self.list_crashes,
             "/notices": self.set_notices,
             "/runs": self.list_runs,
             "/limits": self.list_limits,
@@ -78,6 +89,14 @@
         """Set the injected fault of an instance."""
         self.instances[document["instance"]].fault = document["fault"]
 
+    def set_crash_paths(self, document: Any) -> None:
+        """Set the paths of the requests that crash the instances which run them."""
+        self.crash_plan.paths = set(document["paths"])
+
+    def list_crashes(self, document: Any) -> list[list[str]]:
+        """Return the path and the instance of each crash, in order."""
+        return [[run.path, run.instance] for run in self.crash_plan.crashes]
+
     def set_notices(self, document: Any) -> None:
         """Set the rate limit and the leaving that an instance tells in its answers."""
         site = self.instances[document["instance"]]
--- a/tests/mesh/test_processes.py
+++ b/tests/mesh/test_processes.py
@@ -136,3 +136,22 @@
     node.process.send_signal(signal.SIGHUP)
     assert node.wait_for("settings reloaded")["changed"] == ["grace_ms"]
     assert node.ask("/get/1", "after")[0] == 200
+
+
+def test_a_request_that_crashes_its_instance_is_refused_after_the_second_crash(
+    site: mesh_site.LocalMeshSite,
+) -> None:
+    node = site.nodes["ledger-1"]
+    site.tell("crash_on", paths=["/book/deadly"])
+    answers = [node.ask("/book/deadly", "r0", "POST")]
+    while not answers[-1][1].startswith(b"213 "):
+        answers.append(node.ask("/book/deadly", f"r{len(answers)}", "POST"))
+        assert len(answers) < 50
+    unknown = [status for status, _ in answers if status == 502]
+    assert len(unknown) == len(site.tell("crashes")) == 2
+    for name in ("booth-1", "booth-2"):
+        site.nodes[name].wait_for("request blamed for crashes")
+    for number in range(5):
+        assert node.ask("/book/deadly", f"after-{number}", "POST")[0] == 503
+        assert node.ask("/get/1", f"proper-{number}")[0] == 200
+    assert len(site.tell("crashes")) == 2
