End a trial that outlasts the suspicion

Found in a reading: if the last report expired while a suspect ran, its end was not recorded, and no suspect ran at that node any more, until their waits ended. The end of a call is now recorded whether a crash is known or not. test_a_trial_that_outlasts_the_suspicion_blocks_no_later_one failed before.

--- a/src/jujubetiller/crashes/_crash_containment.py
+++ b/src/jujubetiller/crashes/_crash_containment.py
@@ -121,9 +121,7 @@
         has_response: bool,
     ) -> None:
         """Record that a call has ended; ``call`` is None if it was not submitted."""
-        if self.is_idle():
-            return
-        if has_response:
+        if has_response and not self.is_idle():
             self._record_response(
                 self.identify(request) if call is None else call.fingerprint
             )
--- a/tests/mesh/test_crashing_requests.py
+++ b/tests/mesh/test_crashing_requests.py
@@ -2,8 +2,9 @@
 
 import attrs
 
-from jujubetiller import calls, crashes
+from jujubetiller import calls, codes, crashes, target
 from standins.fleet import mesh_fleet
+from tests.mesh import local_mesh
 
 SERVICES = {f"{s}-{zone}": s for s in ("booth", "ledger") for zone in (1, 2, 3)}
 CALLERS = tuple(name for name in SERVICES if name.startswith("ledger"))
@@ -222,3 +223,19 @@
     ]
     assert headers
     assert all(float(each["Retry-After"]) >= 30.0 for each in headers)
+
+
+def test_a_trial_that_outlasts_the_suspicion_blocks_no_later_one() -> None:
+    node = local_mesh.LocalMesh()
+    containment = node.parts.containment
+    node.receive_call(deadline_left_ms=200_000.0)
+    node.target.probe_result = target.ProbeResult.REFUSED
+    node.target.requests[0].on_end(
+        target.TargetResponse(codes.ResultCode.TARGET_CLOSED_EARLY)
+    )
+    node.receive_call(deadline_left_ms=200_000.0)
+    node.reactor.advance(node.parts.settings.crashes.suspicion_ms / 1_000.0)
+    containment.expire()
+    assert containment.is_idle()
+    node.target.requests[1].answer()
+    assert containment.queue.running is None
