Bound the requests in a report of a crash

Found in a reading: peers reject reports of more than 4,096 requests, so a crash under more of them was told to nobody. The latest starts are kept. test_a_crash_under_very_many_requests_fits_into_a_message failed before.

--- a/src/jujubetiller/crashes/_crash_evidence.py
+++ b/src/jujubetiller/crashes/_crash_evidence.py
@@ -7,6 +7,7 @@
 
 from jujubetiller import clock, settings
 from jujubetiller.crashes import (
+    _crash_message,
     _crash_report,
     _crash_reports,
     _standing,
@@ -84,7 +85,7 @@
 
         ``running`` are the fingerprints of what it ran, the latest start first.
         """
-        ran = tuple(dict.fromkeys(running))
+        ran = tuple(dict.fromkeys(running))[: _crash_message.MAX_RUNNING]
         suspects = [
             each for each in ran if self.find_standing(each) is not _Standing.CLEAR
         ]
--- a/tests/crashes/test_crash_evidence.py
+++ b/tests/crashes/test_crash_evidence.py
@@ -154,3 +154,10 @@
         [Evidence().record_crash(name, [OTHER, DEADLY]) for name in ("a", "b", "c")]
     )
     assert evidence.standings() == [SUSPECT, SUSPECT, CLEAR]
+
+
+def test_a_crash_under_very_many_requests_fits_into_a_message() -> None:
+    evidence = Evidence()
+    report = evidence.record_crash("a", range(10_000))
+    body = crashes.CrashMessage(reports=(report,)).encode(0.0)
+    assert crashes.decode_message(body, 0.0).unwrap().reports == (report,)
