Compare crash reports only in comparisons

Found in a reading: each message on a trial named the digest of the sender's reports, and nodes whose suspects had been cleared at different times answered it with all reports, and got all back. Messages on crashes and trials now name no digest; a trial's has 23 B instead of 31. test_only_a_comparison_is_answered_with_all_reports guards it.

--- a/bench/capacity_roles.py
+++ b/bench/capacity_roles.py
@@ -49,7 +49,7 @@
             "the same, after a crash of its target",
             "up to 256 reports of crashes, 9 kB each if 200 requests were running",
             "to each of the other 20 nodes of the service: 1.9 kB a crash with 200 "
-            "running requests, 31 B for each begin and end of a trial; a comparison of "
+            "running requests, 23 B for each begin and end of a trial; a comparison of "
             "some bytes a second while a crash is known",
             "0.4 us a call while no crash is known, 9.4 us while one is",
             "2.3 MB for 256 unexplained crashes with 200 requests each; an explained "
--- a/src/jujubetiller/crashes/_crash_containment.py
+++ b/src/jujubetiller/crashes/_crash_containment.py
@@ -188,8 +188,7 @@
         reports: tuple[_crash_report.CrashReport, ...] = (),
         trials: tuple[_crash_message.Trial, ...] = (),
     ) -> None:
-        digest = self.evidence.reports.digest()
-        self.send(_Message(digest, reports, trials))
+        self.send(_Message(None, reports, trials))
 
     def _arm(self) -> None:
         if self.queue.waiting and not self.is_armed:
--- a/src/jujubetiller/crashes/_crash_evidence.py
+++ b/src/jujubetiller/crashes/_crash_evidence.py
@@ -173,7 +173,7 @@
             del self.arrivals[fingerprint]
 
     def _explain(self) -> None:
-        """Blame the blamed requests for the other crashes of what they ran beside."""
+        """Blame known culprits for the unexplained crashes at which they ran."""
         culprits = set(self.reports.count_blamed())
         common = self.reports.find_common_suspect(CRASHES_OF_COMMON_SUSPECT)
         if common is not None:
--- a/src/jujubetiller/crashes/_crash_exchange.py
+++ b/src/jujubetiller/crashes/_crash_exchange.py
@@ -88,7 +88,7 @@
             self._send(address, message)
 
     def answer(self, request: calls.CallRequest) -> calls.CallAnswer:
-        """Apply a message; the answer has all reports if the sender knows others."""
+        """Apply a message; the answer has all reports if it compares other ones."""
         now_ms = self.clock.now_ms()
         decoded = _crash_message.decode_message(request.body, now_ms)
         if isinstance(decoded, result.Err):
@@ -96,9 +96,7 @@
             return calls.make_refusal(codes.ResultCode.BAD_FRAME)
         message = decoded.ok_value
         self.containment.receive(message)
-        reports = self.containment.evidence.reports
-        is_equal = message.digest == reports.digest()
-        answer = _Message(reports.digest(), () if is_equal else reports.all())
+        answer = self._compare_with(message.digest)
         return calls.CallAnswer(
             outcome=codes.Outcome.ANSWERED,
             code=codes.ResultCode.ANSWERED,
@@ -106,6 +104,13 @@
             body=answer.encode(now_ms),
         )
 
+    def _compare_with(self, digest: int | None) -> _Message:
+        """Return the reports that a peer with other ones may lack."""
+        reports = self.containment.evidence.reports
+        if digest is None or digest == reports.digest():
+            return _Message(digest)
+        return _Message(reports.digest(), reports.all())
+
     def _compare(self, address: settings.Address) -> None:
         """Get the reports of a peer that differ, and send it those that it lacks."""
         self._send(address, _Message(self.containment.evidence.reports.digest()))
@@ -123,14 +128,11 @@
             body=message.encode(self.clock.now_ms()),
         )
         deadline = calls.Deadline.after(self.clock, ANSWER_TIMEOUT_MS)
-        answered = functools.partial(self._apply_answer, address, bool(message.reports))
+        answered = functools.partial(self._apply_answer, address)
         self.peers.send_call(address, request, deadline, answered)
 
     def _apply_answer(
-        self,
-        address: settings.Address,
-        has_sent_reports: bool,
-        answer: calls.CallAnswer,
+        self, address: settings.Address, answer: calls.CallAnswer
     ) -> None:
         if answer.code is not codes.ResultCode.ANSWERED:
             return
@@ -141,8 +143,8 @@
         message = decoded.ok_value
         self.containment.receive(message)
         reports = self.containment.evidence.reports
-        if message.digest != reports.digest() and not has_sent_reports:
-            self._send(address, _Message(reports.digest(), reports.all()))
+        if message.digest not in (None, reports.digest()):
+            self._send(address, _Message(None, reports.all()))
 
     def _schedule(self) -> None:
         jitter = 0.8 + 0.4 * self.random.random()
--- a/src/jujubetiller/crashes/_crash_message.py
+++ b/src/jujubetiller/crashes/_crash_message.py
@@ -33,8 +33,8 @@
 class CrashMessage:
     """What a node beside an instance tells the others of its service."""
 
-    digest: int = 0
-    """Of all reports that the sender knows."""
+    digest: int | None = None
+    """Of all reports that the sender knows; ``None`` if they are not to be compared."""
 
     reports: tuple[_Report, ...] = ()
     trials: tuple[Trial, ...] = ()
@@ -54,7 +54,7 @@
         digest, reports, trials = msgpack.unpackb(body)
         return result.Ok(
             CrashMessage(
-                _check_fingerprint(digest),
+                None if digest is None else _check_fingerprint(digest),
                 tuple(
                     _decode_report(row, now_ms)
                     for row in _check_list(reports, MAX_REPORTS)
--- a/tests/crashes/test_crash_message.py
+++ b/tests/crashes/test_crash_message.py
@@ -8,7 +8,7 @@
 from jujubetiller import codes, crashes
 
 REPORT: list[Any] = ["a.1", 5.0, [1, 2], None, [2]]
-WRONG_NUMBERS: list[Any] = [-1, 2**64 - 1 + 0.5, "1", None, True, float("nan")]
+WRONG_NUMBERS: list[Any] = [-1, 2**64 - 1 + 0.5, "1", True, float("nan")]
 MESSAGES: list[Any] = [
     1,
     [],
@@ -17,7 +17,7 @@
     [0, 1, []],
     [0, [], {}],
     [0, [], [[1, 1.0]] * 257],
-    *([0, [], [[bad, 1.0]]] for bad in WRONG_NUMBERS),
+    *([0, [], [[bad, 1.0]]] for bad in (*WRONG_NUMBERS, None)),
     *([0, [], [[1, bad]]] for bad in (-1, "1", None, float("inf"), float("nan"))),
     [0, [REPORT[:-1]], []],
     [0, [["", *REPORT[1:]]], []],
--- a/tests/node/test_crashing_requests.py
+++ b/tests/node/test_crashing_requests.py
@@ -84,3 +84,19 @@
     node.receive_call("balance")
     assert node.target.requests == []
     assert node.answers[-1].code is codes.ResultCode.REQUEST_CRASHES_TARGETS
+
+
+def test_only_a_comparison_is_answered_with_all_reports() -> None:
+    """Guards against each short message on a trial that brings back the whole table."""
+    node = local_node.LocalNode()
+    node.receive_call("balance")
+    crash_target(node)
+    digest = node.parts.containment.evidence.reports.digest()
+    for message, has_reports in (
+        (crashes.CrashMessage(trials=(crashes.Trial(1, 5.0),)), False),
+        (crashes.CrashMessage(digest), False),
+        (crashes.CrashMessage(digest + 1), True),
+    ):
+        answer = send_message(node, message)
+        reports = crashes.decode_message(answer.body, 0.0).unwrap().reports
+        assert bool(reports) is has_reports
