--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -158,7 +158,7 @@
         context.violations.append(
             f"{runs} requests ran at {node.name} after it said that it leaves"
         )
-    context.site.run_command("notices", instance=node.name)
+    context.site.run_command("notices", instance=node.name, leaving=False)
     context.site.list_instance(node)
     context.reserved.discard(key)
 
@@ -174,7 +174,7 @@
     context.note(f"limit {rate_limit} of {node.name}")
     context.site.run_command("notices", instance=node.name, rate_limit=rate_limit)
     await context.sleep(LIMITED_S)
-    context.site.run_command("notices", instance=node.name)
+    context.site.run_command("notices", instance=node.name, rate_limit="")
     context.reserved.discard(key)
 
 
--- a/standins/mesh_site/_operator_site.py
+++ b/standins/mesh_site/_operator_site.py
@@ -98,10 +98,11 @@
         return [[run.path, run.instance] for run in self.crash_plan.crashes]
 
     def set_notices(self, document: Any) -> None:
-        """Set the rate limit and the leaving that an instance tells in its answers."""
+        """Set what an instance tells in its answers; what is not named stays."""
         site = self.instances[document["instance"]]
-        site.is_leaving = document.get("leaving", False)
-        site.set_rate_limit(document.get("rate_limit", ""))
+        site.is_leaving = document.get("leaving", site.is_leaving)
+        if "rate_limit" in document:
+            site.set_rate_limit(document["rate_limit"])
 
     def list_limits(self, document: Any) -> list[dict[str, Any]]:
         """Return each period with a rate limit, with the arrivals in it."""
