Check idle streams once in a heartbeat interval

Cause: a pool looked at each of its streams 13 times a second, also when none carried a call, and a node woke up for it.

Change: streams with calls, an unanswered heartbeat or a connection attempt are checked each 75 ms as before, all others each 300 ms. The periodic tasks of a node run once a second, and each 250 ms only while removals wait. HTTPFactory's timer for the date of an access log that is not written no longer runs.

--- a/src/jujubetiller/edge/_edge_factory.py
+++ b/src/jujubetiller/edge/_edge_factory.py
@@ -43,6 +43,9 @@
         self.bodies_refused = 0
         reactor.callLater(IDLE_CHECK_INTERVAL_MS / 1000.0, self.close_idle)
 
+    def startFactory(self) -> None:
+        """Do nothing: the base class would format the date of an access log."""
+
     def buildProtocol(self, address: interfaces.IAddress | None) -> Any:
         """Return a connection, or ``None`` when ``max_connections`` are open."""
         if len(self.channels) >= self.max_connections:
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -35,7 +35,10 @@
 
 _LOG = logbook.Logger("jujubetiller.mesh")
 
-HOUSEKEEPING_INTERVAL_MS = 250.0
+HOUSEKEEPING_INTERVAL_MS = 1_000.0
+
+REMOVALS_INTERVAL_MS = 250.0
+"""Interval of the periodic tasks while removals wait for the store to be stable."""
 
 USED_SLOTS_SHARE = 0.95
 """Part of the own instance's slots that are used: some instances slow down when their
@@ -224,8 +227,10 @@
 
     def run_housekeeping(self) -> None:
         """Run the periodic tasks and schedule their next run."""
+        has_removals = bool(self.parts.directory.pending_removals)
+        pause_ms = REMOVALS_INTERVAL_MS if has_removals else HOUSEKEEPING_INTERVAL_MS
         # Scheduled first, so that an exception below does not end the tasks.
-        self.reactor.callLater(HOUSEKEEPING_INTERVAL_MS / 1000.0, self.run_housekeeping)
+        self.reactor.callLater(pause_ms / 1000.0, self.run_housekeeping)
         self.parts.directory.apply_removals()
         if self.store_stability.have_entries_expired():
             self.state.release_removals()
--- a/src/jujubetiller/streams/_peer_slot.py
+++ b/src/jujubetiller/streams/_peer_slot.py
@@ -5,6 +5,7 @@
 from jujubetiller import codes
 from jujubetiller.streams import (
     _caller_stream,
+    _checks,
     _connect_attempt,
     _outgoing,
     _stream_context,
@@ -13,7 +14,7 @@
 REMOVE_FAILED_AFTER_MS = 60_000.0
 
 
-class PeerSlot:
+class PeerSlot(_checks.Checked):
     """Keeps one stream to an address and replaces it when a PING goes unanswered."""
 
     def __init__(
@@ -38,6 +39,7 @@
 
     def send(self, outgoing: _outgoing.Outgoing) -> None:
         """Send on the current stream, or queue until a working stream is open."""
+        self.context.checks.add_busy(self)
         stream = self.current
         if (
             stream is not None
@@ -130,6 +132,12 @@
             ):
                 self._open()
 
+    def is_busy(self) -> bool:
+        """Return whether a connection is attempted or a stream is busy."""
+        return self.attempt is not None or any(
+            stream.is_busy() for stream in self.streams()
+        )
+
     def is_suspect(self) -> bool:
         """Return whether the peer is silent or the last connection attempt failed."""
         if self.current is None:
--- a/src/jujubetiller/streams/_peer_stream.py
+++ b/src/jujubetiller/streams/_peer_stream.py
@@ -11,6 +11,7 @@
 
 from jujubetiller import codes, frames
 from jujubetiller.streams import (
+    _checks,
     _frame_writer,
     _hello,
     _peer_identity,
@@ -31,7 +32,7 @@
 _LOG = logbook.Logger("jujubetiller.streams")
 
 
-class PeerStream(protocol.Protocol, abc.ABC):
+class PeerStream(protocol.Protocol, _checks.Checked):
     """A TCP stream to another node: handshake, heartbeats and flow control."""
 
     def __init__(
@@ -99,6 +100,15 @@
     def end_work(self) -> None:
         """End all outstanding calls and bodies: the stream is lost."""
 
+    def is_busy(self) -> bool:
+        """Return whether the stream has work, or waits for its peer or its end."""
+        return (
+            self.closing
+            or self.peer is None
+            or self.silence.is_pinged()
+            or self.has_work()
+        )
+
     # Twisted's interface.
 
     def connectionMade(self) -> None:
--- a/src/jujubetiller/streams/_server_stream.py
+++ b/src/jujubetiller/streams/_server_stream.py
@@ -58,6 +58,7 @@
             self, call_id, frame.request, self.context.clock.now_ms()
         )
         self.incoming[call_id] = call
+        self.context.checks.add_busy(self)
         if frame.body_inside:
             self._run(call, frame.request)
         else:
--- a/src/jujubetiller/streams/_silence_detector.py
+++ b/src/jujubetiller/streams/_silence_detector.py
@@ -78,6 +78,10 @@
             return Silence.PING_DUE
         return Silence.NONE
 
+    def is_pinged(self) -> bool:
+        """Return whether a PING was sent that nothing was received after."""
+        return self.pinged_at_ms >= 0
+
     def is_suspect(self) -> bool:
         """Return whether a PING went unanswered for too long."""
         return (
--- a/src/jujubetiller/streams/_stream_context.py
+++ b/src/jujubetiller/streams/_stream_context.py
@@ -6,6 +6,7 @@
 
 from jujubetiller import clock, frames, settings
 from jujubetiller.streams import (
+    _checks,
     _deadline_wheel,
     _memory_budget,
     _peer_identity,
@@ -27,6 +28,7 @@
     wheel: _deadline_wheel.DeadlineWheel[_wheel_item.WheelItem]
     partial_bodies: _memory_budget.MemoryBudget
     statistics: _stream_statistics.StreamStatistics
+    checks: _checks.StreamChecks
 
     call_soon: Callable[..., object]
     """Calls a function with its arguments in a later reactor turn."""
--- a/src/jujubetiller/streams/_stream_pool.py
+++ b/src/jujubetiller/streams/_stream_pool.py
@@ -1,12 +1,13 @@
 """The pool of all streams of a node."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from twisted.internet import defer, interfaces
 
 from jujubetiller import calls, clock, codes, frames, settings
 from jujubetiller.streams import (
+    _checks,
     _connect_attempt,
     _deadline_wheel,
     _memory_budget,
@@ -28,11 +29,6 @@
 TICK_MS = 10.0
 """Longest delay between a deadline and its detection."""
 
-STREAM_TICKS_PER_HEARTBEAT = 4
-"""Checks of each stream per heartbeat interval; heartbeats and the detection of
-silence are late by at most one check interval. 20 checks a second used 2% of a core
-for 200 idle streams."""
-
 IDENTITY_TICK_MS = 1_000.0
 """Longest delay until peers are sent a changed identity, such as a new key epoch."""
 
@@ -64,6 +60,9 @@
                 stream_settings.max_partial_body_bytes
             ),
             statistics=_stream_statistics.StreamStatistics(),
+            checks=_checks.StreamChecks(
+                time_source, stream_settings.heartbeat_ms, self._bring_forward
+            ),
             call_soon=lambda function, *arguments: reactor.callLater(
                 0, function, *arguments
             ),
@@ -72,11 +71,8 @@
         self.slots: dict[settings.Address, _peer_slot.PeerSlot] = {}
         self.closed: defer.Deferred[None] | None = None
         self._ports: list[interfaces.IListeningPort] = []
-        check_interval_ms = stream_settings.heartbeat_ms / STREAM_TICKS_PER_HEARTBEAT
-        self.stream_tick_ms = max(TICK_MS, check_interval_ms)
         self.timer = _pool_timer.PoolTimer(reactor, time_source, self._tick)
         self.timer.schedule(time_source.now_ms() + TICK_MS)
-        self._next_stream_tick_ms = 0.0
         self._next_identity_tick_ms = 0.0
         self._is_finished = False
 
@@ -272,14 +268,12 @@
     def _tick(self) -> None:
         now_ms = self.context.clock.now_ms()
         due = self.context.wheel.expire(now_ms)
-        is_stream_tick = now_ms >= self._next_stream_tick_ms
-        if is_stream_tick:
-            self._next_stream_tick_ms = now_ms + self.stream_tick_ms
-        self._schedule_tick(now_ms)
-        for item in due:
-            item.expire()
-        if is_stream_tick:
-            self._tick_streams(now_ms)
+        try:
+            for item in due:
+                item.expire()
+            self.context.checks.run(now_ms, self._list_checked)
+        finally:
+            self._schedule_tick(now_ms)
         if now_ms >= self._next_identity_tick_ms:
             self._next_identity_tick_ms = now_ms + IDENTITY_TICK_MS
             identity = self.context.identity()
@@ -288,15 +282,20 @@
         self._finish_if_closed()
 
     def _schedule_tick(self, now_ms: float) -> None:
-        next_ms = min(self.context.wheel.next_ms(), self._next_stream_tick_ms)
+        next_ms = min(self.context.wheel.next_ms(), self.context.checks.next_ms())
         if self.closed is not None:
             next_ms = min(next_ms, now_ms + TICK_MS)
         self.timer.schedule(next_ms)
 
-    def _tick_streams(self, now_ms: float) -> None:
+    def _bring_forward(self, at_ms: float) -> None:
+        self.timer.bring_forward(at_ms)
+
+    def _list_checked(self) -> Iterator[_checks.Checked]:
+        """Return what has to be checked, and remove the slots that are not needed."""
+        now_ms = self.context.clock.now_ms()
         for address, slot in list(self.slots.items()):
-            slot.tick(now_ms)
             if slot.can_be_removed(now_ms):
                 del self.slots[address]
-        for stream in list(self.listener.streams):
-            stream.tick(now_ms)
+            else:
+                yield slot
+        yield from list(self.listener.streams)
