Call a peer at once that has just connected

Cause: after a failed connection attempt, calls to a peer are refused for 50 ms. A node that starts connects to its peers in that time, so it was known to be up, and calls to it were still refused as unreachable.

Change: a stream that a peer opens ends the wait of the slot for its address. The test fails without it.

--- a/src/jujubetiller/streams/_peer_slot.py
+++ b/src/jujubetiller/streams/_peer_slot.py
@@ -62,6 +62,11 @@
         else:
             self.waiting[outgoing] = None
 
+    def note_reachable(self) -> None:
+        """Forget a failed connection attempt: the peer can be reached again."""
+        self.failed = False
+        self.retry_at_ms = 0.0
+
     def _drop_ended(self) -> None:
         self.waiting = {item: None for item in self.waiting if not item.has_ended()}
 
--- a/src/jujubetiller/streams/_stream_listener.py
+++ b/src/jujubetiller/streams/_stream_listener.py
@@ -1,11 +1,12 @@
 """The listener that accepts streams from peers."""
 
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet import interfaces, protocol
 
 from jujubetiller import codes
-from jujubetiller.streams import _server_stream, _stream_context
+from jujubetiller.streams import _peer_identity, _server_stream, _stream_context
 
 
 class StreamListener(protocol.ServerFactory):
@@ -13,8 +14,13 @@
 
     noisy = False
 
-    def __init__(self, context: _stream_context.StreamContext) -> None:
+    def __init__(
+        self,
+        context: _stream_context.StreamContext,
+        on_ready: Callable[[_peer_identity.PeerIdentity], None],
+    ) -> None:
         self.context = context
+        self.on_ready = on_ready
         self.streams: set[_server_stream.ServerStream] = set()
         self.closing = False
 
@@ -34,6 +40,7 @@
 
     def _ready(self, stream: Any) -> None:
         self.context.statistics.streams_accepted += 1
+        self.on_ready(stream.peer)
 
     def _closed(self, stream: Any, reason: str) -> None:
         self.streams.discard(stream)
--- a/src/jujubetiller/streams/_stream_pool.py
+++ b/src/jujubetiller/streams/_stream_pool.py
@@ -67,7 +67,7 @@
                 0, function, *arguments
             ),
         )
-        self.listener = _stream_listener.StreamListener(self.context)
+        self.listener = _stream_listener.StreamListener(self.context, self._note_peer)
         self.slots: dict[settings.Address, _peer_slot.PeerSlot] = {}
         self.closed: defer.Deferred[None] | None = None
         self._ports: list[interfaces.IListeningPort] = []
@@ -179,6 +179,12 @@
 
         return _peer_slot.PeerSlot(self.context, connect)
 
+    def _note_peer(self, peer: _peer_identity.PeerIdentity) -> None:
+        """Connect to a peer at once that has just connected to this node."""
+        for address, slot in self.slots.items():
+            if (address.host, address.port) == (peer.host, peer.peer_port):
+                slot.note_reachable()
+
     def _ensure_room(self) -> bool:
         """Return whether one more stream may be opened.
 
--- a/tests/streams/test_stream_pool.py
+++ b/tests/streams/test_stream_pool.py
@@ -9,7 +9,7 @@
 import pytest
 
 from jujubetiller import codes, frames, settings
-from tests.streams import nodes
+from tests.streams import memory_network, nodes
 
 
 def test_a_draining_peer_finishes_its_calls_and_gets_no_new_ones() -> None:
@@ -312,3 +312,21 @@
     late_ms = 2 * caller.pool.context.checks.idle_interval_ms
     reactor.pass_time(stream_settings.silent_after_ms + late_ms)
     assert caller.codes() == [("lost", "STREAM_LOST")]
+
+
+def test_a_peer_that_connects_is_called_at_once_after_a_failed_attempt() -> None:
+    """Guards against calls refused while a node is known to have just started."""
+    reactor = memory_network.MemoryReactor()
+    caller = nodes.Node(reactor, "caller", nodes.OTHER_ADDRESS)
+    server = nodes.Node(reactor, "server")
+    caller.pool.listen(nodes.OTHER_ADDRESS)
+    caller.call("early")
+    reactor.run_until_idle()
+    server.pool.listen(nodes.ADDRESS)
+    server.pool.connect(nodes.OTHER_ADDRESS, 1_000, lambda identity: None)
+    reactor.run_until_idle()
+    caller.call("late")
+    reactor.run_until_idle()
+    server.handler.replies[0](nodes.answer_with(b""))
+    reactor.run_until_idle()
+    assert caller.codes() == [("early", "PEER_UNREACHABLE"), ("late", "ANSWERED")]
