Let two nodes of a zone read the store for the others

Change: readers.ReaderChoice, pure, with clock and random source handed in. The first two nodes of a zone by rendezvous hash read (the own interface's election uses the same weights). All others ask one of them in turn, once in 0.35 of the time in which a configuration must be in force; being asked makes a node read, one that does not answer or cannot read is passed over, and one that finds no reader reads itself after a random delay. A reader passes changes on at once: along a tree of fan-out 6 in its zone, and to one node of each other zone. A node that starts takes addresses, and nothing else, from one stale page of the store.

Removals are final up to the revision that a reader states once its own reads have been stable for 2.5 s; before, a node that had not noticed an outage could settle a removal that a peer told it of.

--- a/src/jujubetiller/membership/_reader_election.py
+++ b/src/jujubetiller/membership/_reader_election.py
@@ -2,9 +2,7 @@
 
 import random
 
-import xxhash
-
-from jujubetiller import clock, settings
+from jujubetiller import clock, readers, settings
 from jujubetiller.membership import _instance_record, _platform_freshness
 
 RANK_STEP_MS = 500.0
@@ -92,9 +90,9 @@
         the zone changes.
         """
         if zone_instances is not self._ranked:
-            own = self._weight(self.own_instance)
+            own = readers.weigh(self.zone, self.own_instance)
             others = [
-                self._weight(record.instance)
+                readers.weigh(self.zone, record.instance)
                 for record in zone_instances
                 if record.accepts_new_work and record.instance != self.own_instance
             ]
@@ -154,12 +152,6 @@
             return 0.0
         return self.random.random() * readers * 1_000.0 / TICKET_READS_PER_SECOND
 
-    def _weight(self, instance: str) -> tuple[int, str]:
-        return (
-            xxhash.xxh3_64_intdigest(f"{self.zone}\0{instance}".encode()),
-            instance,
-        )
-
     def _silence_ms(self) -> float:
         silent_from_ms = max(self.freshness.advanced_at_ms, self.may_take_over_from_ms)
         return self.clock.now_ms() - silent_from_ms
--- a/src/jujubetiller/mesh/_build_parts.py
+++ b/src/jujubetiller/mesh/_build_parts.py
@@ -36,7 +36,7 @@
     node_settings: settings.MeshSettings,
     headers: _header_names.HeaderNames,
     decoder: published.ItemDecoder,
-    is_store_stable: Callable[[], bool],
+    is_settled: Callable[[published.Revision], bool],
     boot_id: str,
 ) -> _mesh_parts.MeshParts:
     """Return the components of a node; ``pool`` and ``prober`` are not set yet."""
@@ -52,7 +52,7 @@
         router,
         node_settings.target.address,
         node_settings.listen.peer.port,
-        is_store_stable,
+        is_settled,
         configuration.is_service,
     )
     target_client = target.TargetClient(
--- a/src/jujubetiller/mesh/_instance_directory.py
+++ b/src/jujubetiller/mesh/_instance_directory.py
@@ -29,9 +29,9 @@
     Entries of services that ``is_service`` does not know are not used until a
     configuration names their service.
 
-    While ``is_store_stable`` returns False, removals are held back: entries expire
-    during a store outage although their instances still run, and they are published
-    again soon after it.
+    A removal is held back until ``is_settled`` returns True for its revision: entries
+    expire during a store outage although their instances still run, and they are
+    published again soon after it.
     """
 
     def __init__(
@@ -40,14 +40,14 @@
         router: routing.Router,
         own_address: settings.Address,
         peer_port: int,
-        is_store_stable: Callable[[], bool],
+        is_settled: Callable[[published.Revision], bool],
         is_service: Callable[[str], bool],
     ) -> None:
         self.decoder = decoder
         self.router = router
         self.own_address = own_address
         self.peer_port = peer_port
-        self.is_store_stable = is_store_stable
+        self.is_settled = is_settled
         self.is_service = is_service
         self.listed: dict[str, _Listed] = {}
         self.pending_removals: dict[str, published.Revision] = {}
@@ -84,19 +84,22 @@
         self.refresh()
 
     def apply_removals(self) -> None:
-        """Apply the pending removals if the store is stable."""
+        """Apply the pending removals that are final."""
         if self._apply_pending_removals():
             self.refresh()
 
     def _apply_pending_removals(self) -> bool:
-        """Apply the pending removals and return whether any was applied."""
-        if not self.pending_removals or not self.is_store_stable():
-            return False
-        for name in self.pending_removals:
+        """Apply the pending removals that are final; return whether there was one."""
+        settled = [
+            name
+            for name, revision in self.pending_removals.items()
+            if self.is_settled(revision)
+        ]
+        for name in settled:
+            del self.pending_removals[name]
             self._remove(name)
             _LOG.info("instance removed", extra={"instance": name})
-        self.pending_removals = {}
-        return True
+        return bool(settled)
 
     def _remove(self, name: str) -> None:
         listed = self.listed.pop(name, None)
@@ -120,6 +123,18 @@
         }
         return [settings.Address(host, self.peer_port) for host in sorted(hosts)]
 
+    def hosts_by_zone(self, with_leaving: bool) -> dict[str, set[str]]:
+        """Return the hosts of the nodes, this one included, by their zones.
+
+        Without ``with_leaving``, those beside instances that are leaving are left out.
+        """
+        hosts: dict[str, set[str]] = {}
+        for listed in self.usable():
+            instance = listed.instance
+            if with_leaving or not instance.draining:
+                hosts.setdefault(instance.zone, set()).add(instance.address.host)
+        return hosts
+
     def service_peers(self, service: str) -> list[settings.Address]:
         """Return the addresses of the other nodes beside instances of ``service``."""
         hosts = {
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -29,7 +29,9 @@
     _peer_prober,
     _service_peers,
     _state_exchange,
+    _state_merge,
     _status_sites,
+    _store_reading,
     _store_stability,
 )
 
@@ -92,7 +94,7 @@
             node_settings,
             headers,
             decoder,
-            self.store_stability.is_stable,
+            self.store_stability.is_settled,
             self.boot_id,
         )
         self.parts.prober = _peer_prober.PeerProber(self.parts)
@@ -100,7 +102,12 @@
             _mesh_counters.make_groups(self.parts, self.state, self.source)
         )
         self.exchange = _state_exchange.StateExchange(
-            self.parts, self.state, self.store_stability, self.own_peer_address
+            self.parts,
+            _state_merge.StateMerge(self.state, self.source, self.store_stability),
+            self.own_peer_address,
+        )
+        self.reading = _store_reading.StoreReading(
+            self.parts, self.source, self.exchange, self.own_peer_address
         )
         self.crash_exchange = crashes.CrashExchange(
             reactor,
@@ -125,7 +132,7 @@
         """
         parts = self.parts
         peer_calls = _peer_calls.PeerCalls(parts)
-        peer_calls.exchange = self.exchange
+        peer_calls.reading = self.reading
         peer_calls.crash_exchange = self.crash_exchange
         parts.pool = streams.StreamPool(
             self.reactor,
@@ -144,8 +151,7 @@
         ):
             site = _status_sites.StatusSite(functools.partial(make_reply, parts))
             self.listen(name, site)
-        self.source.start()
-        self.exchange.start()
+        self.reading.start()
         self.crash_exchange.start()
         self.run_housekeeping()
         _LOG.info(
@@ -197,6 +203,7 @@
     def apply_instances(self, items: list[published.PublishedItem]) -> None:
         """Apply changed instances, and set the guard's slots from the own instance."""
         self.parts.directory.apply(items)
+        self.reading.apply_instances()
         self.exchange.start_comparison.begin()
         self.crash_exchange.ask_at_start()
         if self.applied_version != self.parts.configuration.version:
@@ -232,6 +239,8 @@
         # Scheduled first, so that an exception below does not end the tasks.
         self.reactor.callLater(pause_ms / 1000.0, self.run_housekeeping)
         self.parts.directory.apply_removals()
+        if has_removals:
+            self.reading.confirm_removals()
         if self.store_stability.have_entries_expired():
             self.state.release_removals()
         self.load_log.write_if_due()
@@ -266,7 +275,6 @@
         return self.draining.finished
 
     def _stop_reading(self, left_over: int) -> int:
-        self.source.stop()
-        self.exchange.stop()
+        self.reading.stop()
         self.crash_exchange.stop()
         return left_over
--- a/src/jujubetiller/mesh/_peer_calls.py
+++ b/src/jujubetiller/mesh/_peer_calls.py
@@ -3,13 +3,19 @@
 from collections.abc import Callable
 
 from jujubetiller import calls, codes, crashes, edge, frames, streams
-from jujubetiller.mesh import _ingress_call, _mesh_parts, _state_exchange
+from jujubetiller.mesh import (
+    _ingress_call,
+    _mesh_parts,
+    _state_exchange,
+    _state_pusher,
+    _store_reading,
+)
 
 
 class PeerCalls(streams.StreamHandler):
     """Runs peers' calls at the target and answers their state requests."""
 
-    exchange: _state_exchange.StateExchange
+    reading: _store_reading.StoreReading
     """Set before the first listener is opened."""
 
     crash_exchange: crashes.CrashExchange
@@ -25,7 +31,7 @@
     ) -> Callable[[], None]:
         """Run a call at the node's own target, or answer a state request."""
         if request.service == _state_exchange.STATE_SERVICE:
-            reply(self.answer_node(request))
+            self.answer_node(request, reply)
             return edge.do_nothing
         if request.service != self.parts.settings.service:
             reply(calls.make_refusal(codes.ResultCode.WRONG_SERVICE))
@@ -34,11 +40,18 @@
         call.begin()
         return call.cancel
 
-    def answer_node(self, request: calls.CallRequest) -> calls.CallAnswer:
-        """Return the answer to a message that concerns the nodes themselves."""
+    def answer_node(
+        self,
+        request: calls.CallRequest,
+        reply: Callable[[calls.CallAnswer], None],
+    ) -> None:
+        """Answer a message that concerns the nodes themselves."""
         if request.path == crashes.PATH:
-            return self.crash_exchange.answer(request)
-        return self.exchange.answer(request)
+            reply(self.crash_exchange.answer(request))
+        elif request.path == _state_pusher.PATH:
+            reply(self.reading.pusher.receive(request))
+        else:
+            self.reading.answer(request, reply)
 
     def handle_seal(self, key: str, reply: Callable[[bool], None]) -> None:
         """Confirm no seal, as this node has no execution keys."""
@@ -56,7 +69,8 @@
         """Do nothing: routing follows from the answers to calls."""
 
     def peer_lost(self, peer: streams.PeerIdentity, reason: str) -> None:
-        """Do nothing: the stream ends the calls on it."""
+        """Ask a lost reader of the store; the stream ends the calls on it."""
+        self.reading.handle_lost_peer(peer.host)
 
     def peer_draining(self, peer: streams.PeerIdentity) -> None:
         """Do nothing: the stream refuses further calls to the peer."""
--- a/src/jujubetiller/mesh/_start_comparison.py
+++ b/src/jujubetiller/mesh/_start_comparison.py
@@ -25,7 +25,7 @@
     def __init__(
         self,
         parts: _mesh_parts.MeshParts,
-        request_changes: Callable[[settings.Address, Callable[[], None]], None],
+        request_changes: Callable[[settings.Address, Callable[[object], None]], None],
     ) -> None:
         self.parts = parts
         self.request_changes = request_changes
@@ -46,7 +46,7 @@
         if not peers:
             self._complete()
 
-    def _end(self, peer: settings.Address) -> None:
+    def _end(self, peer: settings.Address, answer: object) -> None:
         if self.waiting is None:
             return
         self.waiting.discard(peer)
--- a/src/jujubetiller/mesh/_state_message.py
+++ b/src/jujubetiller/mesh/_state_message.py
@@ -33,10 +33,14 @@
     retained_digest: int = 0
     """What the requesting node retains, see ``RetainedItems.digest``."""
 
+    asks_reader: bool = False
+    """Whether the answering node is to read the store for the requesting one."""
+
     def encode(self) -> bytes:
         """Return the body of the request."""
-        revision = _encode_revision(self.revision)
-        fields = [revision, *attrs.astuple(self.sender), self.retained_digest]
+        revision = encode_revision(self.revision)
+        sender = attrs.astuple(self.sender)
+        fields = [revision, *sender, self.retained_digest, self.asks_reader]
         return bytes(msgpack.packb(fields))
 
 
@@ -45,8 +49,14 @@
     """The changes that the requesting node lacks."""
 
     changes: published.Changes
-    is_settled: bool
-    """Whether the answering node's own reads of the store are stable."""
+    settled: published.Revision = published.Revision()
+    """The revision up to which removals are final."""
+
+    released_epoch: int = 0
+    """The history in which a restored store no longer holds instances that are gone."""
+
+    is_reader: bool = False
+    """Whether the answering node reads the store, and its last read succeeded."""
 
     retained: tuple[published.RetainedItem, ...] = ()
     """What the answering node knows better than the store, if that differs from what
@@ -57,44 +67,59 @@
         changes = self.changes
         items = [_encode_item(item) for item in changes.items]
         retained = [[_encode_item(r.item), r.is_removed] for r in self.retained]
-        revision = _encode_revision(changes.revision)
-        fields = [revision, changes.is_listing, self.is_settled, items, retained]
+        fields = [
+            encode_revision(changes.revision),
+            changes.is_listing,
+            encode_revision(self.settled),
+            self.released_epoch,
+            self.is_reader,
+            items,
+            retained,
+        ]
         return bytes(msgpack.packb(fields))
 
 
 def decode_request(body: bytes) -> result.Result[StateRequest, codes.Problem]:
     """Return the request in ``body``."""
     try:
-        revision, host, port, digest = msgpack.unpackb(body)
-        sender = settings.Address(_check(host, str), _check(port, int))
+        revision, host, port, digest, asks_reader = msgpack.unpackb(body)
         return result.Ok(
-            StateRequest(_decode_revision(revision), sender, _check(digest, int))
+            StateRequest(
+                decode_revision(revision),
+                settings.Address(check(host, str), check(port, int)),
+                check(digest, int),
+                check(asks_reader, bool),
+            )
         )
     except (ValueError, TypeError) as error:
-        return result.Err(_describe(error))
+        return result.Err(describe(error))
 
 
 def decode_answer(body: bytes) -> result.Result[StateAnswer, codes.Problem]:
     """Return the answer in ``body``."""
     try:
-        revision, is_listing, is_settled, rows, retained = msgpack.unpackb(body)
-        items = tuple(_decode_item(row) for row in _check(rows, list))
+        revision, is_listing, settled, released, is_reader, rows, retained = (
+            msgpack.unpackb(body)
+        )
+        items = tuple(_decode_item(row) for row in check(rows, list))
         changes = published.Changes(
-            _decode_revision(revision), items, _check(is_listing, bool)
+            decode_revision(revision), items, check(is_listing, bool)
         )
         return result.Ok(
             StateAnswer(
                 changes,
-                _check(is_settled, bool),
-                tuple(_decode_retained(row) for row in _check(retained, list)),
+                decode_revision(settled),
+                _check_number(released),
+                check(is_reader, bool),
+                tuple(_decode_retained(row) for row in check(retained, list)),
             )
         )
     except (ValueError, TypeError) as error:
-        return result.Err(_describe(error))
+        return result.Err(describe(error))
 
 
 def _encode_item(item: published.PublishedItem) -> list[Any]:
-    return [item.key, _encode_revision(item.revision), _encode_value(item.value)]
+    return [item.key, encode_revision(item.revision), _encode_value(item.value)]
 
 
 def _encode_value(value: bytes | None) -> Any:
@@ -110,14 +135,14 @@
 
 
 def _decode_retained(row: Any) -> published.RetainedItem:
-    item, is_removed = _check(row, list)
-    return published.RetainedItem(_decode_item(item), _check(is_removed, bool))
+    item, is_removed = check(row, list)
+    return published.RetainedItem(_decode_item(item), check(is_removed, bool))
 
 
 def _decode_item(row: Any) -> published.PublishedItem:
     key, revision, value = row
     return published.PublishedItem(
-        _check(key, str), _decode_revision(revision), _decode_value(value)
+        check(key, str), decode_revision(revision), _decode_value(value)
     )
 
 
@@ -136,7 +161,7 @@
     return decompressed
 
 
-def _check(value: Any, expected: type) -> Any:
+def check(value: Any, expected: type) -> Any:
     """Return ``value``, which must be of exactly the type ``expected``.
 
     Raises ``TypeError`` otherwise.
@@ -146,21 +171,27 @@
     return value
 
 
-def _encode_revision(revision: published.Revision) -> list[int]:
+def encode_revision(revision: published.Revision) -> list[int]:
+    """Return the form of a revision in a message."""
     return [revision.epoch, revision.number]
 
 
-def _decode_revision(value: Any) -> published.Revision:
-    epoch, number = _check(value, list)
+def decode_revision(value: Any) -> published.Revision:
+    """Return the revision in a message.
+
+    Raises ``TypeError`` or ``ValueError`` if ``value`` holds none.
+    """
+    epoch, number = check(value, list)
     return published.Revision(_check_number(epoch), _check_number(number))
 
 
 def _check_number(value: Any) -> int:
-    number: int = _check(value, int)
+    number: int = check(value, int)
     if not 0 <= number <= published.MAX_NUMBER:
         raise ValueError(f"allowed are revisions from 0 to {published.MAX_NUMBER}")
     return number
 
 
-def _describe(error: Exception) -> codes.Problem:
+def describe(error: Exception) -> codes.Problem:
+    """Return the problem of a message that could not be decoded."""
     return codes.Problem(codes.ResultCode.BAD_FRAME, "state", str(error))
--- a/src/jujubetiller/mesh/_store_stability.py
+++ b/src/jujubetiller/mesh/_store_stability.py
@@ -1,4 +1,4 @@
-"""Whether removals of published items may be applied."""
+"""Which removals of published items may be applied."""
 
 from jujubetiller import clock, published
 
@@ -11,12 +11,12 @@
 
 
 class StoreStability:
-    """Determines whether the store has answered for long enough since its last outage.
+    """Determines up to which revision removals are final.
 
-    Right after an outage, removals may be entries that expired although their
-    instances still run. A peer whose reads of the store are stable confirms the
-    state that it sends, so its removals may be applied too. What was stable in an older
-    history of the store is not so in a newer one.
+    Right after an outage of the store, removals may be entries that expired although
+    their instances still run. They are final up to the revision that a reader has
+    reached once the store has answered it for long enough. Readers state that revision
+    in their messages, so that nodes which don't read apply the same removals.
     """
 
     def __init__(
@@ -30,14 +30,13 @@
         self.state = state
         self.source = source
         self.max_age_ms = max_age_ms
-        self.confirmed_at_ms: float | None = None
-        self.confirmed_epoch = 0
-        """The history of the store that the confirmation is about."""
+        self.settled = published.Revision()
+        """Removals up to this revision are final, as far as readers have stated."""
 
     def is_own_stable(self) -> bool:
         """Return whether this node's own reads of the store are stable."""
         age_ms = self.source.age_ms()
-        if not 0 <= age_ms <= self.max_age_ms:
+        if not self.source.is_current() or not 0 <= age_ms <= self.max_age_ms:
             return False
         return self.clock.now_ms() - self.source.recovered_at_ms() >= STABLE_AFTER_MS
 
@@ -46,17 +45,27 @@
         since_ms = self.clock.now_ms() - self.source.recovered_at_ms()
         return self.is_own_stable() and since_ms >= RESTORED_ENTRIES_EXPIRE_MS
 
-    def record_confirmation(self) -> None:
-        """Record that a peer whose store is stable has sent its state."""
-        self.confirmed_at_ms = self.clock.now_ms()
-        self.confirmed_epoch = self.state.revision.epoch
+    def find_settled(self) -> published.Revision:
+        """Return the revision up to which removals are final.
 
-    def is_stable(self) -> bool:
-        """Return whether removals may be applied now."""
+        This node settles only what it has read itself: it may not have noticed yet that
+        the store was down when a peer tells it of a removal.
+        """
         if self.is_own_stable():
-            return True
-        return (
-            self.confirmed_at_ms is not None
-            and self.confirmed_epoch == self.state.revision.epoch
-            and self.clock.now_ms() - self.confirmed_at_ms < STABLE_AFTER_MS
-        )
+            own = min(self.source.read_revision(), self.state.revision)
+            self.settled = max(self.settled, own)
+        return self.settled
+
+    def record_settled(self, revision: published.Revision) -> None:
+        """Record the revision up to which a peer states that removals are final.
+
+        A statement about another history than the state's is ignored: what was final
+        in it may have been restored.
+        """
+        if revision.epoch == self.state.revision.epoch:
+            self.settled = max(self.settled, revision)
+
+    def is_settled(self, revision: published.Revision) -> bool:
+        """Return whether a removal of ``revision`` is final."""
+        settled = self.find_settled()
+        return settled.epoch == self.state.revision.epoch and revision <= settled
--- a/src/jujubetiller/platform/_settings.py
+++ b/src/jujubetiller/platform/_settings.py
@@ -24,6 +24,13 @@
 nodes than there are, and calls that a repeated request makes."""
 
 
+EXCHANGE_SHARE = 0.35
+"""Part of the time in which a configuration must be in force, after which a node asks
+a reader of the store again."""
+
+MIN_EXCHANGE_MS = 200.0
+
+
 def load_settings(
     text: bytes,
 ) -> result.Result[settings.MeshSettings, codes.Problem]:
@@ -67,6 +74,7 @@
         repeats=_translate_repeats(bounds),
         logs=settings.LogSettings(repeats_per_second=REPEATED_LOG_LINES_PER_SECOND),
         grace_ms=int(_fields.read_duration_ms(bounds, "grace", 6_000.0)),
+        exchange_ms=_find_exchange_ms(bounds),
     )
 
 
@@ -84,6 +92,11 @@
     )
 
 
+def _find_exchange_ms(bounds: dict[str, Any]) -> int:
+    apply_ms = _fields.read_duration_ms(bounds, "config_apply", 2_000.0)
+    return int(max(MIN_EXCHANGE_MS, EXCHANGE_SHARE * apply_ms))
+
+
 def _translate_store(document: dict[str, Any]) -> settings.StoreSettings:
     store = settings.StoreSettings(_fields.read_address(document, "address"))
     value_bytes = _fields.read_integer(
--- a/src/jujubetiller/platform/_store_reader.py
+++ b/src/jujubetiller/platform/_store_reader.py
@@ -2,16 +2,17 @@
 
 import json
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 from urllib import parse
 
 import logbook
 import result
 from twisted.internet import defer, interfaces
+from twisted.python import failure
 
 from jujubetiller import clock, http_reads, published, schema, settings
-from jujubetiller.platform import _store_answer, _store_epoch
+from jujubetiller.platform import _instances, _store_answer, _store_epoch
 
 _LOG = logbook.Logger("jujubetiller.platform")
 
@@ -20,10 +21,12 @@
 # Base64 makes values longer; a page holds about a megabyte of values.
 _MAX_ANSWER_BYTES_PER_VALUE_BYTE = 3
 
-CHANGES_PAUSE_MS = 400.0
-"""Pause after a watch that returned changes. Changes often come in series, and each
-watch is a request to the store; a quarter of the time in which a change must be in
-force is used to receive several in one answer."""
+LONGEST_CHANGES_PAUSE_MS = 1_000.0
+"""Pause after a watch that returned changes. Changes often come in series, and several
+are received in one answer."""
+
+SHORTEST_CHANGES_PAUSE_MS = 200.0
+"""The pauses of the readers differ, so that one of them mostly has its watch open."""
 
 WAIT_JITTER = 0.2
 """Keeps the watches of the nodes from ending at the same time."""
@@ -54,9 +57,16 @@
         self.backoff = http_reads.Backoff(
             random_source, float(store_settings.longest_pause_ms)
         )
-        self.is_stopped = False
+        self.is_stopped = True
+        self.run = 0
+        """Number of times that reading was stopped."""
+
+        self.next_read: interfaces.IDelayedCall | None = None
         self.is_down = True
         self.succeeded_at_ms: float | None = None
+        self.last_read = published.Revision()
+        """The revision of the last successful read."""
+
         self.recovered_ms = 0.0
         self.had_changes = False
         """Whether the last watch returned changes."""
@@ -74,15 +84,61 @@
         state.observers.append(self._restart_watch)
 
     def start(self) -> None:
-        """Start reading."""
+        """Start reading; no effect if that is done already.
+
+        The first success counts as the end of an outage, as the store may have been
+        down since the last read.
+        """
+        if not self.is_stopped:
+            return
+        self.is_stopped = False
+        self.is_down = True
         self._read()
 
     def stop(self) -> None:
         """Cancel the current read and start no other."""
         self.is_stopped = True
+        self.run += 1
+        self.succeeded_at_ms = None
+        if self.next_read is not None:
+            self.next_read.cancel()
+            self.next_read = None
         if self.pending_read is not None:
             self.pending_read.cancel()
 
+    def peek(self, on_page: Callable[[published.ItemPage], None]) -> None:
+        """Read a page of instances; a stale read costs the store least."""
+        reading = defer.Deferred.fromCoroutine(self._peek())
+        reading.addErrback(self._fail_peek)
+        reading.addCallback(on_page)
+
+    async def _peek(self) -> published.ItemPage:
+        query = {"prefix": _instances.PREFIX, "serializable": "1"}
+        read = await self.reader.get(
+            f"/kv-range?{parse.urlencode(query)}",
+            self.settings.answer_timeout_ms,
+            self._max_answer_bytes(),
+        )
+        if isinstance(read, result.Err) or read.ok_value.status != _store_answer.OK:
+            return published.ItemPage((), True)
+        page = json.loads(read.ok_value.body)
+        answer = _store_answer.StoreAnswer(_store_answer.OK, page, 0)
+        is_last = not page.get("truncated")
+        return published.ItemPage(answer.read_items("items").items, is_last)
+
+    def _fail_peek(self, reason: failure.Failure) -> published.ItemPage:
+        reason.trap(schema.FieldError, ValueError, RecursionError)
+        self.bad_answers += 1
+        _LOG.error("store answer not applied", extra={"reason": str(reason.value)})
+        return published.ItemPage((), True)
+
+    def is_current(self) -> bool:
+        """Return whether the last read succeeded and the present one is not overdue."""
+        if self.is_stopped or self.is_down:
+            return False
+        longest_ms = self.settings.watch_wait_ms + self.settings.answer_timeout_ms
+        return 0 <= self.age_ms() <= longest_ms
+
     def age_ms(self) -> float:
         """Return the time since the last successful read of the state's history.
 
@@ -92,6 +148,10 @@
             return -1.0
         return self.clock.now_ms() - self.succeeded_at_ms
 
+    def read_revision(self) -> published.Revision:
+        """Return the revision that this node has itself read up to."""
+        return self.last_read
+
     def recovered_at_ms(self) -> float:
         """Return when the store last answered after an outage or a restore."""
         return self.recovered_ms
@@ -106,23 +166,23 @@
         }
 
     def _read(self) -> None:
-        if self.is_stopped:
-            return
+        self.next_read = None
         reading = defer.Deferred.fromCoroutine(self._read_once())
         self.pending_read = reading
-        reading.addBoth(self._read_next)
+        reading.addBoth(self._read_next, self.run)
 
-    def _read_next(self, failure: Any) -> None:
-        self.pending_read = None
-        if self.is_stopped:
+    def _read_next(self, problem: Any, run: int) -> None:
+        if run != self.run:
             return
-        if failure is None:
+        self.pending_read = None
+        if problem is None:
             has_pause = self.had_changes or self.position.repeats_listings()
-            pause_ms = CHANGES_PAUSE_MS if has_pause else 0.0
-            self.reactor.callLater(pause_ms / 1_000.0, self._read)
-            return
-        self._record_failure(failure)
-        self.reactor.callLater(self.backoff.next_ms() / 1_000.0, self._read)
+            pause_ms = self._draw_changes_pause_ms() if has_pause else 0.0
+        else:
+            self._record_failure(problem)
+            pause_ms = self.backoff.next_ms()
+        self.next_read = self.reactor.callLater(pause_ms / 1_000.0, self._read)
+        self.on_read_end()
 
     async def _read_once(self) -> str | None:
         """List or watch once; return the reason of a failure, or ``None``."""
@@ -193,15 +253,23 @@
             )
 
     def _draw_wait_ms(self) -> int:
-        """Return how long the next watch waits; 0 in a history not read before."""
-        if not self.position.is_current():
+        """Return how long the next watch waits.
+
+        It does not wait after an outage nor in a history not read before, so that the
+        node soon knows whether it is up to date.
+        """
+        if self.is_down or not self.position.is_current():
             return 0
         jitter = 1.0 - WAIT_JITTER * self.random.random()
         return int(self.settings.watch_wait_ms * jitter)
 
+    def _draw_changes_pause_ms(self) -> float:
+        return self.random.uniform(SHORTEST_CHANGES_PAUSE_MS, LONGEST_CHANGES_PAUSE_MS)
+
     def _apply(self, changes: published.Changes) -> None:
         # Recorded first: removals after an outage or a restore have to wait.
         has_recovered = self._record_success(changes.revision.epoch)
+        self.last_read = changes.revision
         self.state.apply(changes)
         if has_recovered:
             _LOG.info("store answers", extra={"revision": str(changes.revision)})
@@ -214,8 +282,7 @@
         read = await self.reader.get(
             f"{path}?{parse.urlencode(query)}",
             wait_ms + self.settings.answer_timeout_ms,
-            self.settings.max_value_bytes * _MAX_ANSWER_BYTES_PER_VALUE_BYTE
-            + _ENVELOPE_BYTES,
+            self._max_answer_bytes(),
         )
         if isinstance(read, result.Err):
             return _store_answer.StoreAnswer(read.err_value.value, None, known_epoch)
@@ -229,6 +296,10 @@
         page = json.loads(answer.body) if is_ok else None
         return _store_answer.StoreAnswer(answer.status, page, epoch)
 
+    def _max_answer_bytes(self) -> int:
+        value_bytes = self.settings.max_value_bytes
+        return value_bytes * _MAX_ANSWER_BYTES_PER_VALUE_BYTE + _ENVELOPE_BYTES
+
     def _restart_watch(self, items: list[published.PublishedItem]) -> None:
         """End the watch under way if peers have brought a newer history."""
         epoch = self.watched_epoch
--- a/src/jujubetiller/published/_item_source.py
+++ b/src/jujubetiller/published/_item_source.py
@@ -1,24 +1,55 @@
 """The interface of sources of published items."""
 
 import abc
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+
+from jujubetiller.published import _item_page, _revision
+
+
+def _do_nothing() -> None:
+    """Do nothing; the default callback."""
 
 
 class ItemSource(abc.ABC):
-    """Reads published items into a ``PublishedState`` until it is stopped."""
+    """Reads published items into a ``PublishedState`` while it is started."""
+
+    on_read_end: Callable[[], None] = staticmethod(_do_nothing)
+    """Called after each read, whether it succeeded or failed."""
 
     @abc.abstractmethod
     def start(self) -> None:
-        """Start reading."""
+        """Start reading; no effect if that is done already."""
 
     @abc.abstractmethod
     def stop(self) -> None:
-        """Stop reading."""
+        """Stop reading; ``start`` may be called again."""
+
+    def peek(
+        self,
+        on_page: Callable[[_item_page.ItemPage], None],
+    ) -> None:
+        """Read some items, which may be old ones, without applying them.
+
+        ``on_page`` is called once, in a later reactor turn or at once, with no items if
+        the read fails. The default reads nothing.
+        """
+        on_page(_item_page.ItemPage((), True))
+
+    def is_current(self) -> bool:
+        """Return whether the source reads, and its last read succeeded."""
+        return self.age_ms() >= 0
 
     @abc.abstractmethod
     def age_ms(self) -> float:
         """Return the time since the last successful read, or -1 before the first."""
 
+    def read_revision(self) -> _revision.Revision:
+        """Return the revision that the source has itself read up to.
+
+        The state may hold later changes of peers. By default, it is the source of all.
+        """
+        return _revision.Revision(_revision.MAX_NUMBER, _revision.MAX_NUMBER)
+
     def read_counters(self) -> Mapping[str, float]:
         """Return the numbers of answers that the source rejected, by reason."""
         return {}
--- a/standins/mesh_site/_store_site.py
+++ b/standins/mesh_site/_store_site.py
@@ -34,6 +34,8 @@
         self.store = published_store
         self.watches: set[_Watch] = set()
         self.down = False
+        self.calls = 0
+        """Requests received so far."""
 
     def handle(
         self,
@@ -41,6 +43,7 @@
         reply: Callable[[edge.EdgeReply], None],
     ) -> Callable[[], None]:
         """Answer a read at once; answer a watch when there are events or time is up."""
+        self.calls += 1
         if self.down:
             reply(edge.EdgeReply(503, self.store.headers(), b""))
             return edge.do_nothing
--- a/tests/mesh/local_mesh.py
+++ b/tests/mesh/local_mesh.py
@@ -8,7 +8,7 @@
 from twisted.internet import task
 
 from jujubetiller import calls, codes, edge, mesh, platform, published, settings
-from jujubetiller.mesh import _egress_site, _peer_calls
+from jujubetiller.mesh import _egress_site, _peer_calls, _state_message
 from standins.mesh_site import documents
 from tests import reactor_clock
 from tests.node import local_node
@@ -73,7 +73,7 @@
         self.revision = 0
         self.site = _egress_site.EgressSite(self.parts)
         self.peers = _peer_calls.PeerCalls(self.parts)
-        self.peers.exchange = self.node.exchange
+        self.peers.reading = self.node.reading
         self.peers.crash_exchange = self.node.crash_exchange
         self.replies: list[edge.EdgeReply] = []
         self.answers: list[calls.CallAnswer] = []
@@ -99,6 +99,12 @@
     def remove_instance(self, name: str) -> None:
         self.publish(f"servers/{name}", None)
 
+    def confirm_removals(self) -> None:
+        """Receive the statement of a reader that all removals so far are final."""
+        revision = self.node.state.revision
+        nothing = published.Changes(revision, (), False)
+        self.node.exchange.merge.apply(_state_message.StateAnswer(nothing, revision))
+
     def send_request(
         self, path: str = "/book/1", host: str = "a.example", **control: str
     ) -> Callable[[], None]:
--- a/tests/mesh/test_published_changes.py
+++ b/tests/mesh/test_published_changes.py
@@ -71,7 +71,7 @@
     node.source.age = 60_000.0
     node.remove_instance(local_mesh.FIRST)
     assert local_mesh.FIRST in routable_names(node)
-    node.node.store_stability.record_confirmation()
+    node.confirm_removals()
     node.parts.directory.apply_removals()
     assert local_mesh.FIRST not in routable_names(node)
 
@@ -80,14 +80,14 @@
     """Guards against living instances that a restored store does not list yet."""
     node = local_mesh.LocalMesh()
     node.source.age = 60_000.0
-    node.node.store_stability.record_confirmation()
+    node.confirm_removals()
     state = node.node.state
     revision = published.Revision(state.revision.epoch + 1, 3)
     config = attrs.evolve(state.items["op/config"], revision=revision)
     state.apply(published.Changes(revision, (config,), True))
     node.parts.directory.apply_removals()
     assert local_mesh.FIRST in routable_names(node)
-    node.node.store_stability.record_confirmation()
+    node.confirm_removals()
     node.parts.directory.apply_removals()
     assert local_mesh.FIRST not in routable_names(node)
 
@@ -204,7 +204,7 @@
         assert _state_message.decode_answer(body).is_err()
     revision = published.Revision(2, 7)
     changes = published.Changes(revision, (local_mesh.Item("a", revision, None),), True)
-    answer = _state_message.StateAnswer(changes, True)
+    answer = _state_message.StateAnswer(changes, revision)
     assert _state_message.decode_answer(answer.encode()).unwrap() == answer
 
 
--- a/tests/mesh/test_state_messages.py
+++ b/tests/mesh/test_state_messages.py
@@ -31,7 +31,13 @@
 
 def request(**wrong: Any) -> list[Any]:
     """Return the fields of a valid request, but for those in ``wrong``."""
-    fields = {"revision": REVISION, "host": "127.0.0.1", "port": 1, "digest": 0}
+    fields = {
+        "revision": REVISION,
+        "host": "127.0.0.1",
+        "port": 1,
+        "digest": 0,
+        "asks_reader": False,
+    }
     return list({**fields, **wrong}.values())
 
 
@@ -40,7 +46,9 @@
     fields = {
         "revision": REVISION,
         "is_listing": True,
-        "is_settled": True,
+        "settled": REVISION,
+        "released": 0,
+        "is_reader": True,
         "items": [ITEM],
         "retained": [[ITEM, True]],
     }
@@ -71,13 +79,16 @@
     request(port=1.5),
     request(port=10**6),
     *(request(digest=bad) for bad in (None, True, "1", 1.5)),
+    request(asks_reader=1),
 ]
 ANSWERS: list[Any] = [
     1,
     answer()[:-1],
     *(answer(revision=bad) for bad in BAD_REVISIONS),
     answer(is_listing=1),
-    answer(is_settled="yes"),
+    *(answer(settled=bad) for bad in BAD_REVISIONS),
+    *(answer(released=bad) for bad in (None, True, -1, 2**60)),
+    answer(is_reader="yes"),
     answer(items=5),
     answer(items={"a": 1}),
     *(answer(items=[bad]) for bad in BAD_ITEMS),
@@ -124,7 +135,9 @@
     )
     sent_answer = _state_message.StateAnswer(
         published.Changes(published.Revision(2, 7), items, True),
-        False,
+        published.Revision(2, 6),
+        2,
+        True,
         (published.RetainedItem(items[0], True),),
     )
     decoded = _state_message.decode_answer(sent_answer.encode()).unwrap()
@@ -140,7 +153,7 @@
     value = documents.encode(documents.CONFIGURATION, listeners=listeners)
     item = published.PublishedItem("op/config", published.Revision(1, 6), value)
     sent = _state_message.StateAnswer(
-        published.Changes(item.revision, (item,), True), True
+        published.Changes(item.revision, (item,), True), item.revision
     )
     body = sent.encode()
     assert len(body) < len(value) / 8
