Ask no node after the streams of a stopping node are closed

Cause: a node went on asking readers between the close of its streams and the end of the process; it read its own address from the listener, which a closed one no longer has.

Change: the address is kept, and a stopping node stops reading and asking before its streams are closed. The stand-ins' port raises as Twisted's does once it is closed; the test fails without the change.

--- a/src/jujubetiller/mesh/_drain.py
+++ b/src/jujubetiller/mesh/_drain.py
@@ -1,5 +1,7 @@
 """The graceful shutdown of a node."""
 
+from collections.abc import Callable
+
 import logbook
 from twisted.internet import defer, interfaces
 
@@ -39,10 +41,14 @@
         parts: _mesh_parts.MeshParts,
         ports: dict[str, interfaces.IListeningPort],
         edges: dict[str, edge.EdgeFactory],
+        on_close: Callable[[], None],
     ) -> None:
         self.parts = parts
         self.ports = ports
         self.edges = edges
+        self.on_close = on_close
+        """Called before the streams are closed."""
+
         self.finished: defer.Deferred[int] = defer.Deferred()
         self.started_at_ms = 0.0
         self.is_listening = True
@@ -102,6 +108,7 @@
             # Callers get an answer that promises nothing, not a closed connection.
             self.parts.target.fail_calls()
         self.parts.target.close()
+        self.on_close()
         elapsed_ms = self.parts.clock.now_ms() - self.started_at_ms
         left_ms = max(FLUSH_MS, min(MAX_FLUSH_MS, self.find_end_ms() - elapsed_ms))
         closing = streams.close_within(self.parts.reactor, self.parts.pool, left_ms)
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -119,6 +119,7 @@
         )
         self.load_log = _load_log.LoadLog(self.parts)
         self.ports: dict[str, interfaces.IListeningPort] = {}
+        self.peer_address = node_settings.listen.peer
         self.edges: dict[str, edge.EdgeFactory] = {}
         self.draining: _drain.Drain | None = None
         self.applied_version = 0
@@ -143,7 +144,10 @@
         )
         self.state.observers.append(parts.configuration.apply)
         self.state.observers.append(self.apply_instances)
-        self.ports["peer"] = parts.pool.listen(self.settings.listen.peer)
+        peer_port = parts.pool.listen(self.settings.listen.peer)
+        self.ports["peer"] = peer_port
+        bound: Any = peer_port.getHost()
+        self.peer_address = settings.Address(self.settings.listen.peer.host, bound.port)
         self.listen("egress", _egress_site.EgressSite(parts))
         for name, make_reply in (
             ("readiness", _status_sites.make_readiness),
@@ -180,9 +184,11 @@
         )
 
     def own_peer_address(self) -> settings.Address:
-        """Return the address of the peer listener, with the port actually bound."""
-        port = self.ports["peer"].getHost().port  # type: ignore[attr-defined]
-        return settings.Address(self.settings.listen.peer.host, port)
+        """Return the address of the peer listener, with the port actually bound.
+
+        It stays known after the listener is closed.
+        """
+        return self.peer_address
 
     def describe_self(self) -> streams.PeerIdentity:
         """Return the identity that this node sends to its peers."""
@@ -269,12 +275,13 @@
         calls return the same result.
         """
         if self.draining is None:
-            self.draining = _drain.Drain(self.parts, self.ports, self.edges)
+            self.draining = _drain.Drain(
+                self.parts, self.ports, self.edges, self.stop_reading
+            )
             self.draining.start()
-            self.draining.finished.addCallback(self._stop_reading)
         return self.draining.finished
 
-    def _stop_reading(self, left_over: int) -> int:
+    def stop_reading(self) -> None:
+        """Read the store no more, and ask no other node."""
         self.reading.stop()
         self.crash_exchange.stop()
-        return left_over
--- a/standins/fleet/_port.py
+++ b/standins/fleet/_port.py
@@ -23,7 +23,9 @@
     """The address that the process asked for; ``number`` is unique in the network."""
 
     def getHost(self) -> internet_address.IPv4Address:
-        """Return the address."""
+        """Return the address; a closed port has none, as with Twisted."""
+        if self.process.network.ports.get(self.number) is not self:
+            raise AttributeError("the port is closed")
         return self.address
 
     def stopListening(self) -> None:
--- a/tests/mesh/test_drain.py
+++ b/tests/mesh/test_drain.py
@@ -50,6 +50,7 @@
             self.mesh.parts,
             {"egress": self.port},  # type: ignore[dict-item]
             edges,
+            self.mesh.node.stop_reading,
         )
         self.left_over: list[int] = []
         self.drain.finished.addCallback(self.left_over.append)
--- a/tests/mesh/test_store_readers.py
+++ b/tests/mesh/test_store_readers.py
@@ -201,3 +201,16 @@
     pauses_ms = _store_reading.MAX_PEEKS * _store_reading.PEEK_PAUSE_MS
     fleet.network.run_for(pauses_ms)
     assert len(find_readers(fleet)) == 2
+
+
+def test_a_reader_that_stops_asks_no_node_after_its_streams_are_closed() -> None:
+    """Guards against errors in the last steps of a planned stop."""
+    fleet = make_fleet(10, zones=2)
+    for name in find_readers(fleet, "1"):
+        fleet.nodes[name].drain()
+    fleet.network.run_for(10_000.0)
+    for node in fleet.nodes.values():
+        statistics = node.parts.pool.statistics()
+        assert statistics.refusals["handler_failed"] == 0
+        assert statistics.refusals["answer_callback_failed"] == 0
+    assert len(find_readers(fleet, "1")) >= 2
