Log a list of many instances in one line

Change: of more than 16 changes at once, only the numbers are logged; a removal is logged only if the instance was listed.

--- a/src/jujubetiller/mesh/_instance_directory.py
+++ b/src/jujubetiller/mesh/_instance_directory.py
@@ -10,6 +10,9 @@
 
 MAX_REMOVED = 4_096
 
+MAX_LOGGED = 16
+"""Changes that are logged one by one; of more at once, only the number is logged."""
+
 _LOG = logbook.Logger("jujubetiller.mesh")
 
 
@@ -68,15 +71,22 @@
 
     def apply(self, items: list[published.PublishedItem]) -> None:
         """Apply the items that describe instances."""
-        changed = False
+        names = {item.key: self.decoder.instance_name(item.key) for item in items}
+        count_before = len(self.listed)
+        has_many = len(items) > MAX_LOGGED
         for item in items:
-            name = self.decoder.instance_name(item.key)
+            name = names[item.key]
             if name is not None:
-                self._apply_item(name, item)
-                changed = True
-        if changed:
-            self._apply_pending_removals()
-            self.refresh()
+                self._apply_item(name, item, is_logged=not has_many)
+        if not any(names.values()):
+            return
+        if has_many:
+            _LOG.info(
+                "instances listed",
+                extra={"before": count_before, "now": len(self.listed)},
+            )
+        self._apply_pending_removals()
+        self.refresh()
 
     def set_own_address(self, address: settings.Address) -> None:
         """Change the address by which the node's own instance is identified."""
@@ -98,13 +108,13 @@
         for name in settled:
             del self.pending_removals[name]
             self._remove(name)
-            _LOG.info("instance removed", extra={"instance": name})
         return bool(settled)
 
     def _remove(self, name: str) -> None:
         listed = self.listed.pop(name, None)
         if listed is None:
             return
+        _LOG.info("instance removed", extra={"instance": name})
         self.removed.pop(name, None)
         self.removed[name] = listed.instance
         if len(self.removed) > MAX_REMOVED:
@@ -145,7 +155,9 @@
         }
         return [settings.Address(host, self.peer_port) for host in sorted(hosts)]
 
-    def _apply_item(self, name: str, item: published.PublishedItem) -> None:
+    def _apply_item(
+        self, name: str, item: published.PublishedItem, is_logged: bool
+    ) -> None:
         if item.value is None:
             self.pending_removals[name] = item.revision
             return
@@ -162,7 +174,10 @@
             _LOG.info("older report ignored", extra={"instance": name})
             return
         self.pending_removals.pop(name, None)
-        if known is None or known.instance.draining != decoded.ok_value.draining:
+        is_changed = (
+            known is None or known.instance.draining != decoded.ok_value.draining
+        )
+        if is_logged and is_changed:
             _LOG.info(
                 "instance listed",
                 extra={
