Pass on the difference when the store has forgotten its history

Cause: after a 410 a reader lists the store, and all nodes that asked it got the whole list, 60 kB each at 195 instances; at 4,000 a zone of 190 nodes would take 228 MB from one reader.

Change: a reader has compared the listing with what it knew before, so a node that is at exactly that revision gets the difference. Only such a node can apply it: a change between the two revisions that was undone by the second is in neither list. A node whose listing came from pages of several moments says that it is not exact, and gets a listing.

--- a/src/jujubetiller/mesh/_state_exchange.py
+++ b/src/jujubetiller/mesh/_state_exchange.py
@@ -95,7 +95,11 @@
             return
         state = self.merge.state
         state_request = _state_message.StateRequest(
-            state.revision, self.own_address(), state.retained.digest(), asks_reader
+            state.revision,
+            self.own_address(),
+            state.retained.digest(),
+            asks_reader,
+            state.is_exact(),
         )
 
         def answered(answer: calls.CallAnswer) -> None:
--- a/src/jujubetiller/mesh/_state_merge.py
+++ b/src/jujubetiller/mesh/_state_merge.py
@@ -22,7 +22,7 @@
     ) -> _state_message.StateAnswer:
         """Return what the sender of a request lacks."""
         return self.make_message(
-            self.state.changes_since(state_request.revision),
+            self.state.changes_since(state_request.revision, state_request.is_exact),
             self._find_retained_for(state_request),
         )
 
--- a/src/jujubetiller/mesh/_state_message.py
+++ b/src/jujubetiller/mesh/_state_message.py
@@ -36,11 +36,20 @@
     asks_reader: bool = False
     """Whether the answering node is to read the store for the requesting one."""
 
+    is_exact: bool = False
+    """Whether the requesting node has no change after ``revision``."""
+
     def encode(self) -> bytes:
         """Return the body of the request."""
         revision = encode_revision(self.revision)
         sender = attrs.astuple(self.sender)
-        fields = [revision, *sender, self.retained_digest, self.asks_reader]
+        fields = [
+            revision,
+            *sender,
+            self.retained_digest,
+            self.asks_reader,
+            self.is_exact,
+        ]
         return bytes(msgpack.packb(fields))
 
 
@@ -70,6 +79,7 @@
         fields = [
             encode_revision(changes.revision),
             changes.is_listing,
+            _encode_base(changes.exact_base),
             encode_revision(self.settled),
             self.released_epoch,
             self.is_reader,
@@ -82,13 +92,14 @@
 def decode_request(body: bytes) -> result.Result[StateRequest, codes.Problem]:
     """Return the request in ``body``."""
     try:
-        revision, host, port, digest, asks_reader = msgpack.unpackb(body)
+        revision, host, port, digest, asks_reader, is_exact = msgpack.unpackb(body)
         return result.Ok(
             StateRequest(
                 decode_revision(revision),
                 settings.Address(check(host, str), check(port, int)),
                 check(digest, int),
                 check(asks_reader, bool),
+                check(is_exact, bool),
             )
         )
     except (ValueError, TypeError) as error:
@@ -98,12 +109,15 @@
 def decode_answer(body: bytes) -> result.Result[StateAnswer, codes.Problem]:
     """Return the answer in ``body``."""
     try:
-        revision, is_listing, settled, released, is_reader, rows, retained = (
+        revision, is_listing, base, settled, released, is_reader, rows, retained = (
             msgpack.unpackb(body)
         )
         items = tuple(_decode_item(row) for row in check(rows, list))
         changes = published.Changes(
-            decode_revision(revision), items, check(is_listing, bool)
+            decode_revision(revision),
+            items,
+            check(is_listing, bool),
+            None if base is None else decode_revision(base),
         )
         return result.Ok(
             StateAnswer(
@@ -171,6 +185,10 @@
     return value
 
 
+def _encode_base(base: published.Revision | None) -> list[int] | None:
+    return None if base is None else encode_revision(base)
+
+
 def encode_revision(revision: published.Revision) -> list[int]:
     """Return the form of a revision in a message."""
     return [revision.epoch, revision.number]
--- a/src/jujubetiller/mesh/_state_pusher.py
+++ b/src/jujubetiller/mesh/_state_pusher.py
@@ -99,7 +99,8 @@
         self, push: _state_push.StatePush, answer: _state_message.StateAnswer
     ) -> None:
         state = self.merge.state
-        if push.base > state.revision:
+        has_gap = push.base > state.revision or not state.can_apply(answer.changes)
+        if has_gap and answer.changes.revision > state.revision:
             self.exchange.request_changes(push.sender)
         else:
             self.merge.apply(answer)
@@ -146,7 +147,7 @@
         """
         state = self.merge.state
         base = self.pushed
-        changes = state.changes_since(base)
+        changes = state.changes_since(base, is_exact=True)
         if changes.is_listing:
             base = state.revision
             changes = published.Changes(base, (), False)
--- a/src/jujubetiller/published/_changes.py
+++ b/src/jujubetiller/published/_changes.py
@@ -16,3 +16,7 @@
 
     is_listing: bool
     """Whether the items are complete: no other key exists as of ``revision``."""
+
+    exact_base: _revision.Revision | None = None
+    """If set, only a reader that has exactly the changes up to this revision may apply
+    the items: what came and went between it and ``revision`` is not in them."""
--- a/src/jujubetiller/published/_published_state.py
+++ b/src/jujubetiller/published/_published_state.py
@@ -60,6 +60,14 @@
         self.listed_at_revision = _revision.Revision()
         """Removals up to this revision may be missing."""
 
+        self.before_listing: _revision.Revision | None = None
+        """The revision before the last listing: what a reader that is exactly there
+        lacks is known, as the listing was compared with the items of that revision."""
+
+        self.highest = _revision.Revision()
+        """The highest revision of an item; that of the state is lower after a listing
+        whose pages are from different moments."""
+
         self.released_epoch: int | None = None
         """The history in which removals are no longer retained."""
 
@@ -77,14 +85,18 @@
         Raises ``ValueError`` for changes that ``can_apply`` rejects.
         """
         if not self.can_apply(changes):
-            raise ValueError("a newer history must begin with a listing")
+            raise ValueError("the changes leave a gap")
+        was_exact = self.is_exact()
         items = list(changes.items)
+        self.highest = max((self.highest, *(item.revision for item in items)))
         if changes.is_listing:
             items += self._find_missing(changes)
         self._record_ignored(items)
         changed = [item for item in items if self._merge(item)]
         if changes.is_listing and changes.revision > self.revision:
             self.listed_at_revision = changes.revision
+            is_known = changes.revision.epoch == self.revision.epoch and was_exact
+            self.before_listing = self.revision if is_known else None
         self.revision = max(self.revision, changes.revision)
         self._notify_all(changed)
 
@@ -127,19 +139,38 @@
         self._notify_all(released)
 
     def can_apply(self, changes: _changes.Changes) -> bool:
-        """Return whether ``changes`` leave no gap: a newer history needs a listing."""
+        """Return whether ``changes`` leave no gap.
+
+        A newer history needs a listing, and what differs from one revision only can be
+        applied nowhere else.
+        """
+        if changes.exact_base is not None:
+            return self.is_exact() and self.revision == changes.exact_base
         return changes.is_listing or changes.revision.epoch <= self.revision.epoch
 
-    def changes_since(self, revision: _revision.Revision) -> _changes.Changes:
-        """Return the changes that a reader which has those up to ``revision`` lacks."""
+    def is_exact(self) -> bool:
+        """Return whether the state holds no change after its revision."""
+        return self.highest <= self.revision
+
+    def changes_since(
+        self, revision: _revision.Revision, is_exact: bool = False
+    ) -> _changes.Changes:
+        """Return the changes that a reader which has those up to ``revision`` lacks.
+
+        ``is_exact`` tells that the reader has no later ones.
+        """
         is_listing = revision < self.listed_at_revision
+        exact_base = None
+        if is_listing and is_exact and revision == self.before_listing:
+            is_listing = False
+            exact_base = revision
         if is_listing:
             items = list(self.items.values())
         else:
             removals = (removal.item for removal in self.removed.values())
             known = (*self.items.values(), *removals)
             items = [item for item in known if item.revision > revision]
-        return _changes.Changes(self.revision, tuple(items), is_listing)
+        return _changes.Changes(self.revision, tuple(items), is_listing, exact_base)
 
     def _notify_all(self, changed: list[_Item]) -> None:
         if not changed:
@@ -255,4 +286,5 @@
     def _discard_oldest_removed(self) -> None:
         while len(self.removed) > self.max_removed:
             oldest = self.removed.pop(next(iter(self.removed)))
+            self.before_listing = None
             self.listed_at_revision = max(self.listed_at_revision, oldest.item.revision)
--- a/tests/mesh/test_state_messages.py
+++ b/tests/mesh/test_state_messages.py
@@ -37,6 +37,7 @@
         "port": 1,
         "digest": 0,
         "asks_reader": False,
+        "is_exact": True,
     }
     return list({**fields, **wrong}.values())
 
@@ -46,6 +47,7 @@
     fields = {
         "revision": REVISION,
         "is_listing": True,
+        "base": None,
         "settled": REVISION,
         "released": 0,
         "is_reader": True,
@@ -80,12 +82,14 @@
     request(port=10**6),
     *(request(digest=bad) for bad in (None, True, "1", 1.5)),
     request(asks_reader=1),
+    request(is_exact=None),
 ]
 ANSWERS: list[Any] = [
     1,
     answer()[:-1],
     *(answer(revision=bad) for bad in BAD_REVISIONS),
     answer(is_listing=1),
+    *(answer(base=bad) for bad in BAD_REVISIONS if bad is not None),
     *(answer(settled=bad) for bad in BAD_REVISIONS),
     *(answer(released=bad) for bad in (None, True, -1, 2**60)),
     answer(is_reader="yes"),
@@ -134,7 +138,9 @@
         published.PublishedItem("gone", published.Revision(2, 7), None),
     )
     sent_answer = _state_message.StateAnswer(
-        published.Changes(published.Revision(2, 7), items, True),
+        published.Changes(
+            published.Revision(2, 7), items, False, published.Revision(2, 5)
+        ),
         published.Revision(2, 6),
         2,
         True,
--- a/tests/published/test_published_state.py
+++ b/tests/published/test_published_state.py
@@ -76,6 +76,44 @@
     assert state.changes_since(at(10)).items == ()
 
 
+@pytest.mark.parametrize("is_exact", [False, True])
+def test_a_reader_at_the_revision_before_a_listing_gets_the_difference(
+    is_exact: bool,
+) -> None:
+    """Guards against whole lists for all nodes when the store forgets its history."""
+    state = make_state()
+    first = changes(5, *(Item(key, at(5), b"1") for key in "abc"), listing=True)
+    state.apply(first)
+    behind = make_state()
+    behind.apply(first)
+    state.apply(
+        changes(9, Item("a", at(5), b"1"), Item("b", at(8), b"2"), listing=True)
+    )
+    answer = state.changes_since(at(5), is_exact)
+    assert answer.is_listing is not is_exact
+    assert len(answer.items) == 2
+    behind.apply(answer)
+    assert behind.items == state.items
+    between = make_state()
+    between.apply(first)
+    between.apply(changes(6, Item("d", at(6), b"1")))
+    assert between.can_apply(answer) is not is_exact
+    assert state.changes_since(at(4), is_exact).is_listing
+    assert state.changes_since(at(6), is_exact).is_listing
+
+
+def test_a_listing_from_several_moments_is_not_exact() -> None:
+    """Guards against a key that only one of two nodes at the same revision knows."""
+    state = make_state()
+    state.apply(changes(5, Item("a", at(7), b"1"), listing=True))
+    assert not state.is_exact()
+    state.apply(changes(8, Item("b", at(8), b"1")))
+    assert state.is_exact()
+    state.apply(changes(9, Item("b", at(10), b"2")))
+    state.apply(changes(12, Item("b", at(10), b"2"), listing=True))
+    assert state.changes_since(at(9), is_exact=True).is_listing
+
+
 def test_dropped_removals_make_listings_necessary() -> None:
     state = make_state(max_removed=2)
     state.apply(changes(1, *[Item(str(n), at(1), b"") for n in range(4)], listing=True))
