--- a/src/jujubetiller/readers/_reader_choice.py
+++ b/src/jujubetiller/readers/_reader_choice.py
@@ -61,9 +61,6 @@
         """Time before which a request to read is not followed, as reads have failed."""
 
         self.reads_alone_from_ms: float | None = None
-        self.found_reader = False
-        """Whether the last node that was asked is a reader."""
-
         self.round = 0
         self.asked: set[str] = set()
         """The nodes that were asked in this round."""
@@ -148,12 +145,10 @@
         """Record that ``name`` reads the store."""
         self.probed_at_ms.pop(name, None)
         self.unable.discard(name)
-        self.found_reader = True
         self.reads_alone_from_ms = None
 
     def record_failure(self, name: str, has_answered: bool) -> None:
         """Record that ``name`` gave no answer, or answered that it cannot read."""
-        self.found_reader = False
         if name not in self.nodes:
             return
         self.probed_at_ms[name] = self.clock.now_ms()
--- a/src/jujubetiller/settings/_mesh_settings.py
+++ b/src/jujubetiller/settings/_mesh_settings.py
@@ -55,4 +55,4 @@
     """The longest time between SIGTERM and the end of the process."""
 
     exchange_ms: int = _fields.whole_number(500, 50, 60_000)
-    """Pause between two comparisons of the published state with peers."""
+    """Pause between two requests to readers of the store for missing changes."""
--- a/src/jujubetiller/settings/_store_settings.py
+++ b/src/jujubetiller/settings/_store_settings.py
@@ -13,7 +13,7 @@
 
     watch_wait_ms: int = _fields.whole_number(4_500, 100, 30_000)
     """The longest wait of one watch. A connection that no longer answers is detected
-    only after it; until then, peers with a working watch send the changes."""
+    only after it; until then, other readers send the changes."""
 
     answer_timeout_ms: int = _fields.whole_number(1_500, 50, 60_000)
     """Time beyond the wait of a watch after which its answer counts as lost."""
