Bound what a reader notes of its zone, and export its counters

Read as a newcomer: the times at which nodes were heard had no bound, a parameter and a field were not used, and the messages that were not taken were counted but not exported. Changes that arrive from another zone by a request of their own were passed on only by the next round; now at once.

--- a/src/jujubetiller/mesh/_mesh_counters.py
+++ b/src/jujubetiller/mesh/_mesh_counters.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 
 from jujubetiller import crashes, metrics, notices, published
-from jujubetiller.mesh import _mesh_parts
+from jujubetiller.mesh import _mesh_parts, _store_reading
 
 
 def read_routing(parts: _mesh_parts.MeshParts) -> Mapping[str, float]:
@@ -30,6 +30,22 @@
     }
 
 
+def make_reading_group(
+    reading: _store_reading.StoreReading,
+) -> metrics.CounterGroup:
+    """Return the counters of the node's part in reading the store."""
+    return metrics.CounterGroup(
+        "store_reading",
+        "Whether the node reads the store, and messages about it that were not taken.",
+        lambda: {
+            "reads": float(reading.is_reading),
+            "push_not_taken": reading.pusher.failed,
+            "held_over_bound": reading.held.refused,
+        },
+        is_counter=False,
+    )
+
+
 def make_groups(
     parts: _mesh_parts.MeshParts,
     state: published.PublishedState,
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -107,8 +107,9 @@
             self.own_peer_address,
         )
         self.reading = _store_reading.StoreReading(
-            self.parts, self.source, self.exchange, self.own_peer_address
+            self.parts, self.source, self.exchange
         )
+        self.parts.metrics.export([_mesh_counters.make_reading_group(self.reading)])
         self.crash_exchange = crashes.CrashExchange(
             reactor,
             time_source,
--- a/src/jujubetiller/mesh/_state_pusher.py
+++ b/src/jujubetiller/mesh/_state_pusher.py
@@ -1,5 +1,6 @@
 """Passing changes on to the nodes of a zone and to other zones."""
 
+import functools
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -100,16 +101,20 @@
     ) -> None:
         state = self.merge.state
         has_gap = push.base > state.revision or not state.can_apply(answer.changes)
+        start_in_zone = functools.partial(self._start_in_zone, push)
         if has_gap and answer.changes.revision > state.revision:
-            self.exchange.request_changes(push.sender)
+            self.exchange.request_changes(push.sender, start_in_zone)
         else:
             self.merge.apply(answer)
-        if push.starts_in_zone:
-            if self._has_news():
-                self._schedule(0.0)
-            return
-        self.pushed = max(self.pushed, answer.changes.revision)
-        self.pushed_at_ms = self.parts.clock.now_ms()
+            start_in_zone(answer)
+        if not push.starts_in_zone:
+            self.pushed = max(self.pushed, answer.changes.revision)
+            self.pushed_at_ms = self.parts.clock.now_ms()
+
+    def _start_in_zone(self, push: _state_push.StatePush, answer: object) -> None:
+        """Pass on in the own zone what has arrived from another one."""
+        if push.starts_in_zone and self._has_news():
+            self._schedule(0.0)
 
     def _has_news(self) -> bool:
         return self.has_confirmation or self.merge.state.revision > self.pushed
--- a/src/jujubetiller/mesh/_store_reading.py
+++ b/src/jujubetiller/mesh/_store_reading.py
@@ -43,12 +43,10 @@
         parts: _mesh_parts.MeshParts,
         source: published.ItemSource,
         exchange: _state_exchange.StateExchange,
-        own_address: Callable[[], settings.Address],
     ) -> None:
         self.parts = parts
         self.source = source
         self.exchange = exchange
-        self.own_address = own_address
         node_settings = parts.settings
         self.choice = readers.ReaderChoice(
             parts.clock,
@@ -68,7 +66,7 @@
         self.is_reading = False
         self.is_stopped = False
         self.heard_at_ms: dict[str, float] = {}
-        """When each node last sent a state request."""
+        """When each node of the zone last sent a state request."""
 
         self.other_zones: dict[str, set[str]] = {}
         source.on_read_end = self._note_read
@@ -95,7 +93,8 @@
             reply(received.err_value)
             return
         state_request = received.ok_value
-        self.heard_at_ms[state_request.sender.host] = self.parts.clock.now_ms()
+        if state_request.sender.host in self.heard_at_ms:
+            self.heard_at_ms[state_request.sender.host] = self.parts.clock.now_ms()
         if state_request.asks_reader and not self.is_stopped:
             self.choice.record_asked()
             self._update()
@@ -125,10 +124,10 @@
         self.peeks += 1
         self.source.peek(self._apply_peek)
 
-    def _apply_peek(self, page: published.ItemPage) -> None:
+    def _apply_peek(self, items: tuple[published.PublishedItem, ...]) -> None:
         if self.knows_nodes or self.is_stopped:
             return
-        zones = self._find_hosts(page.items)
+        zones = self._find_hosts(items)
         if self.choice.zone in zones:
             self._set_nodes(zones)
             self._ask_round()
@@ -146,6 +145,11 @@
         if not own_zone and not zones:
             return
         self.choice.set_nodes(own_zone or {self.choice.own})
+        now_ms = self.parts.clock.now_ms()
+        heard_at_ms = self.heard_at_ms
+        self.heard_at_ms = {
+            host: heard_at_ms.get(host, now_ms) for host in self.choice.nodes
+        }
         self.other_zones = zones
         self.knows_nodes = True
         self._update()
@@ -268,9 +272,8 @@
         oldest_ms = now_ms - SILENT_ROUNDS * self.parts.settings.exchange_ms
         silent = [
             host
-            for host in self.choice.nodes
-            if host != self.choice.own
-            and self.heard_at_ms.setdefault(host, now_ms) < oldest_ms
+            for host, at_ms in self.heard_at_ms.items()
+            if host != self.choice.own and at_ms < oldest_ms
         ]
         if len(silent) > MAX_SILENT_ASKED:
             silent = self.parts.random.sample(silent, MAX_SILENT_ASKED)
--- a/src/jujubetiller/platform/_stale_page.py
+++ b/src/jujubetiller/platform/_stale_page.py
@@ -16,8 +16,6 @@
 # Base64 makes values longer; a page holds about a megabyte of values.
 _MAX_ANSWER_BYTES_PER_VALUE_BYTE = 3
 
-_NOTHING = published.ItemPage((), True)
-
 
 def find_max_answer_bytes(store_settings: settings.StoreSettings) -> int:
     """Return the size in bytes up to which an answer of the store is read."""
@@ -27,8 +25,8 @@
 
 async def read_stale_page(
     reader: http_reads.HttpReader, store_settings: settings.StoreSettings
-) -> published.ItemPage:
-    """Return a page of the entries of instances, or an empty one if the read fails."""
+) -> tuple[published.PublishedItem, ...]:
+    """Return a page of the entries of instances, or nothing if the read fails."""
     query = {"prefix": _instances.PREFIX, "serializable": "1"}
     read = await reader.get(
         f"/kv-range?{parse.urlencode(query)}",
@@ -36,12 +34,11 @@
         find_max_answer_bytes(store_settings),
     )
     if isinstance(read, result.Err) or read.ok_value.status != _store_answer.OK:
-        return _NOTHING
+        return ()
     try:
         page = json.loads(read.ok_value.body)
         answer = _store_answer.StoreAnswer(_store_answer.OK, page, 0)
-        rows = answer.read_items("items")
-        return published.ItemPage(rows.items, not page.get("truncated"))
-    except (schema.FieldError, ValueError, RecursionError, AttributeError) as error:
+        return answer.read_items("items").items
+    except (schema.FieldError, ValueError, RecursionError) as error:
         _LOG.error("page of the store not used", extra={"reason": str(error)})
-        return _NOTHING
+        return ()
--- a/src/jujubetiller/platform/_store_reader.py
+++ b/src/jujubetiller/platform/_store_reader.py
@@ -100,12 +100,14 @@
         if self.pending_read is not None:
             self.pending_read.cancel()
 
-    def peek(self, on_page: Callable[[published.ItemPage], None]) -> None:
+    def peek(
+        self, on_items: Callable[[tuple[published.PublishedItem, ...]], None]
+    ) -> None:
         """Read a page of instances; a stale read costs the store least."""
         reading = defer.Deferred.fromCoroutine(
             _stale_page.read_stale_page(self.reader, self.settings)
         )
-        reading.addCallback(on_page)
+        reading.addCallback(on_items)
 
     def is_current(self) -> bool:
         """Return whether the last read succeeded and the present one is not overdue."""
--- a/src/jujubetiller/published/__init__.py
+++ b/src/jujubetiller/published/__init__.py
@@ -2,7 +2,6 @@
 
 from jujubetiller.published._changes import Changes
 from jujubetiller.published._item_decoder import ItemDecoder
-from jujubetiller.published._item_page import ItemPage
 from jujubetiller.published._item_source import ItemSource
 from jujubetiller.published._item_versions import ItemVersions
 from jujubetiller.published._published_instance import PublishedInstance
@@ -17,7 +16,6 @@
     "MAX_NUMBER",
     "Changes",
     "ItemDecoder",
-    "ItemPage",
     "ItemSource",
     "ItemVersions",
     "PublishedInstance",
--- a/src/jujubetiller/published/_item_source.py
+++ b/src/jujubetiller/published/_item_source.py
@@ -3,7 +3,7 @@
 import abc
 from collections.abc import Callable, Mapping
 
-from jujubetiller.published import _item_page, _revision
+from jujubetiller.published import _published_item, _revision
 
 
 def _do_nothing() -> None:
@@ -26,14 +26,14 @@
 
     def peek(
         self,
-        on_page: Callable[[_item_page.ItemPage], None],
+        on_items: Callable[[tuple[_published_item.PublishedItem, ...]], None],
     ) -> None:
         """Read some items, which may be old ones, without applying them.
 
-        ``on_page`` is called once, in a later reactor turn or at once, with no items if
-        the read fails. The default reads nothing.
+        ``on_items`` is called once, in a later reactor turn or at once, with no items
+        if the read fails. The default reads nothing.
         """
-        on_page(_item_page.ItemPage((), True))
+        on_items(())
 
     def is_current(self) -> bool:
         """Return whether the source reads, and its last read succeeded."""
--- a/tests/platform/test_store_reader.py
+++ b/tests/platform/test_store_reader.py
@@ -372,3 +372,30 @@
     assert [item.key for item in rows.items] == ["c"]
     assert len(rows.problems) == 1
     assert rows.last_key == "c"
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"[]", b"5", b"{}", b'{"items": 5}', b'{"items": [5]}', b"[" * 100_000],
+)
+def test_a_page_that_can_not_be_read_names_no_node(body: bytes) -> None:
+    """Guards against a node that never starts because of one wrong answer."""
+    world = World()
+    seen: list[tuple[published.PublishedItem, ...]] = []
+    world.reader.store = None  # type: ignore[assignment]
+    world.source.peek(seen.append)
+    world.reader.waiting[0].done.callback(
+        result.Ok(http_reads.HttpAnswer(200, body, http_headers.Headers()))
+    )
+    assert seen == [()]
+
+
+def test_a_page_is_read_stale_and_changes_nothing() -> None:
+    world = World()
+    world.store.put("servers/a", b"1")
+    seen: list[tuple[published.PublishedItem, ...]] = []
+    world.source.peek(seen.append)
+    world.run(0.1)
+    assert [item.key for item in seen[0]] == ["servers/a"]
+    assert "serializable=1" in world.reader.paths[0]
+    assert world.values() == {}
