--- a/review/common/instance.py
+++ b/review/common/instance.py
@@ -163,10 +163,9 @@
         finally:
             self.running -= 1
             run.ended_s = time.monotonic()
-            if not gone.done():
-                gone.cancel()
-                with contextlib.suppress(asyncio.CancelledError):
-                    await gone
+            gone.cancel()
+            with contextlib.suppress(asyncio.CancelledError, OSError):
+                await gone
         run.end = "answered"
         head["Jujubetiller-Server-Stamp"] = f"{self.name}.{len(self.runs)}"
         writer.write(http.encode("HTTP/1.1 200 OK", head, self.body(path)))
