--- a/review/3/case.py
+++ b/review/3/case.py
@@ -38,7 +38,7 @@
     await place.configure(5, rules)
     if not await place.start_nodes():
         place.record("the nodes were not ready in time")
-        return 2
+        return site.NOT_RUN
     await asyncio.sleep(6.0)
 
     # An ordinary change of the configuration: a route is added.
@@ -88,21 +88,8 @@
         last_s = stale[-1][0].at_s - acked_s
         nodes = len({request.node for request, _ in stale})
         place.record(f"the last was sent {last_s:.3f} s after the ack; {nodes} nodes")
-    return 1 if stale else 0
-
-
-async def main() -> int:
-    """Play the case; end all processes in any case."""
-    place = site.Site(pathlib.Path(__file__).parent)
-    try:
-        status = await asyncio.wait_for(play(place), 100)
-    except (TimeoutError, OSError) as error:
-        place.record(f"the case could not run: {error!r}")
-        status = 2
-    finally:
-        await place.stop()
-    return status
+    return site.BROKEN if stale else site.HELD
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(site.run_case(play, __file__))
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -42,7 +42,7 @@
     await place.configure(5, [site.make_rule("leny950", SERVICE, "idempotent", "6s")])
     if not await place.start_nodes():
         place.record("the nodes were not ready in time")
-        return 2
+        return site.NOT_RUN
     await asyncio.sleep(4.0)
     crashing, leaving = place.nodes[0], place.nodes[1]
     sent: list[client.Sent] = []
@@ -85,21 +85,8 @@
             if is_late and run.end != "not run":
                 late.append(run)
     place.record(f"{len(late)} requests reached the leaving instance too late")
-    return 1 if late else 0
-
-
-async def main() -> int:
-    """Play the case; end all processes in any case."""
-    place = site.Site(pathlib.Path(__file__).parent)
-    try:
-        status = await asyncio.wait_for(play(place), 100)
-    except (TimeoutError, OSError) as error:
-        place.record(f"the case could not run: {error!r}")
-        status = 2
-    finally:
-        await place.stop()
-    return status
+    return site.BROKEN if late else site.HELD
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(site.run_case(play, __file__))
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -54,7 +54,7 @@
     await place.configure(5, [site.make_rule("leny950", SERVICE, "idempotent", "6s")])
     if not await place.start_nodes():
         place.record("the nodes were not ready in time")
-        return 2
+        return site.NOT_RUN
     await asyncio.sleep(4.0)
     leaves = site.has_trouble()
     ends = await asyncio.gather(
@@ -95,21 +95,8 @@
         f"{worked_on} of {lasting} requests that would have lasted so long were still "
         "worked on half a second later"
     )
-    return 1 if len(late) > FEW or worked_on * 4 > lasting else 0
-
-
-async def main() -> int:
-    """Play the case; end all processes in any case."""
-    place = site.Site(pathlib.Path(__file__).parent)
-    try:
-        status = await asyncio.wait_for(play(place), 100)
-    except (TimeoutError, OSError) as error:
-        place.record(f"the case could not run: {error!r}")
-        status = 2
-    finally:
-        await place.stop()
-    return status
+    return site.BROKEN if len(late) > FEW or worked_on * 4 > lasting else site.HELD
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(site.run_case(play, __file__))
--- a/review/common/site.py
+++ b/review/common/site.py
@@ -11,7 +11,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from common import http, instance, store
@@ -304,3 +304,26 @@
 def has_trouble() -> bool:
     """Return whether the disruption is to be caused."""
     return os.environ.get("TROUBLE", "1") != "0"
+
+
+HIGHEST_TIME_S = 110.0
+HELD, BROKEN, NOT_RUN = 0, 1, 2
+"""The exit statuses of a case."""
+
+
+def run_case(play: Callable[[Site], Awaitable[int]], script: str) -> int:
+    """Play a case and return its exit status; all its processes end in any case."""
+    return asyncio.run(_run_case(play, pathlib.Path(script).parent))
+
+
+async def _run_case(
+    play: Callable[[Site], Awaitable[int]], folder: pathlib.Path
+) -> int:
+    place = Site(folder)
+    try:
+        return await asyncio.wait_for(play(place), HIGHEST_TIME_S)
+    except Exception as error:
+        place.record(f"the case could not run: {error!r}")
+        return NOT_RUN
+    finally:
+        await place.stop()
