--- a/review/common/site.py
+++ b/review/common/site.py
@@ -64,7 +64,7 @@
 ack_timeout = "4000ms"
 catch_up = "4s"
 drain = "2000ms"
-grace = "6s"
+grace = "{grace}s"
 loss_slack = "200ms"
 config_apply = "2000ms"
 rollback_slack = "250ms"
@@ -131,6 +131,7 @@
         self.record_file = (folder / "record.txt").open("w")
         self.temporary = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.nodes: list[Node] = []
+        self.grace_s = 6.0
         self.ports = 0
         self.store = store.Store(STORE_HOST, 0)
 
@@ -190,6 +191,7 @@
                 egress=node.ports + 4,
                 ready=node.ports + 2,
                 store=f"{self.store.host}:{self.store.port}",
+                grace=int(self.grace_s),
             )
         )
         kept = ("PATH", "HOME", "LANG")
