Close idle connections to the store when one of them went silent

Callers see: with two kept connections to the store, a silence of both costs two timeouts until a read succeeds, and changes come that much later. Cause: HttpReader closed the connection of the read that timed out and took the next read to another idle one, which mostly had gone silent with it. Change: a read that times out closes the idle connections as well. Evidence: tests/http_reads/test_http_reader.py silences both connections; the second read gets no answer before the change and one at once after it.

--- a/src/jujubetiller/http_reads/_http_reader.py
+++ b/src/jujubetiller/http_reads/_http_reader.py
@@ -61,6 +61,9 @@
         def cancel_read(problem: _read_problem.ReadProblem) -> None:
             cancel_reasons.append(problem)
             sent.cancel()
+            if problem is _read_problem.ReadProblem.SILENT:
+                # Idle connections may have gone silent together with this one.
+                self.close()
 
         done: defer.Deferred[Answer] = defer.Deferred(
             lambda _: cancel_read(_read_problem.ReadProblem.CANCELLED)
