Let the primary reader of a zone notice a silent store connection in time

Cause: a silent connection is noticed at the end of a watch, after up to 6 s, and a change makes all readers watch again within a second, so that they all wait at the same time. Nothing bounded the time in which all miss changes. Evidence: `store lost: watch failed: silent` at all six readers within 0.75 s, 4.6 s after the silence; the configuration is in force 80 ms later. Change: the first reader of a zone ends its watch so soon after its last read that changes are in force within the stable window; the wait follows from the bounds in the settings. A watch without an answer is followed by a read over a new connection, and only its failure counts as an outage. StoreFreshness holds these decisions, which StoreReader had among its reads. Why it works: one reader of each zone is never unaware for longer than the stable window less a round of requests between nodes, whatever others do.

--- a/bench/capacity_roles.py
+++ b/bench/capacity_roles.py
@@ -72,8 +72,9 @@
             "reader of the users' store",
             "the same",
             f"10 readers of 5 zones at 20, 60 and 200 simulated nodes, so "
-            f"{scale.readers} at {scale.zones} zones; a watch each 4 s, and one in 0.2 "
-            "to 1 s while there are changes; a change costs 6 messages in its zone and "
+            f"{scale.readers} at {scale.zones} zones; a watch each 4 s (of the primary "
+            "reader each 1.4 to 1.8 s), and one in 0.2 to 1 s while there are changes; "
+            "a change costs 6 messages in its zone and "
             f"{scale.zones - 1} to other zones",
             "not measured apart",
             "the same",
--- a/src/jujubetiller/mesh/_store_reading.py
+++ b/src/jujubetiller/mesh/_store_reading.py
@@ -168,6 +168,7 @@
 
     def _update(self) -> None:
         """Start or stop reading as the choice of readers says."""
+        self.source.set_primary(self.choice.is_primary())
         must_read = self.knows_nodes and self.choice.is_reader()
         if self.is_stopped or must_read == self.is_reading:
             return
--- a/src/jujubetiller/platform/_settings.py
+++ b/src/jujubetiller/platform/_settings.py
@@ -33,6 +33,9 @@
 
 MIN_EXCHANGE_MS = 200.0
 
+MIN_PRIMARY_WAIT_MS = 500
+"""A primary reader that waited less would cost too many reads."""
+
 
 def load_settings(
     text: bytes,
@@ -60,7 +63,7 @@
         target=settings.TargetSettings(
             address=_fields.read_address(document, "app_addr"), connect_timeout_ms=500
         ),
-        store=_translate_store(_fields.read(document, "platform", dict)),
+        store=_translate_store(_fields.read(document, "platform", dict), bounds),
         streams=settings.StreamSettings(
             max_body_bytes=MAX_BODY_BYTES,
             connect_timeout_ms=300,
@@ -101,12 +104,31 @@
     return int(max(MIN_EXCHANGE_MS, EXCHANGE_SHARE * apply_ms))
 
 
-def _translate_store(document: dict[str, Any]) -> settings.StoreSettings:
+def _translate_store(
+    document: dict[str, Any], bounds: dict[str, Any]
+) -> settings.StoreSettings:
     store = settings.StoreSettings(_fields.read_address(document, "address"))
     value_bytes = _fields.read_integer(
         document, "value_bytes", 1, default=store.max_value_bytes
     )
-    return attrs.evolve(store, max_value_bytes=value_bytes)
+    return attrs.evolve(
+        store,
+        max_value_bytes=value_bytes,
+        primary_wait_ms=_find_primary_wait_ms(bounds, store.watch_answer_ms),
+    )
+
+
+def _find_primary_wait_ms(bounds: dict[str, Any], watch_answer_ms: int) -> int:
+    """Return the longest wait with which a silent store connection is noticed in time.
+
+    After connections have gone silent, configurations must be in force again within
+    the stable window. A round of requests between nodes is left for their way from
+    the readers to all nodes.
+    """
+    apply_ms = _fields.read_duration_ms(bounds, "config_apply", 2_000.0)
+    stable_ms = _fields.read_duration_ms(bounds, "stable_window", 3_000.0)
+    silent_ms = max(apply_ms, stable_ms) - _find_exchange_ms(bounds)
+    return max(MIN_PRIMARY_WAIT_MS, int(silent_ms - watch_answer_ms))
 
 
 def _translate_repeats(bounds: dict[str, Any]) -> settings.RepeatSettings:
--- a/src/jujubetiller/platform/_store_reader.py
+++ b/src/jujubetiller/platform/_store_reader.py
@@ -22,13 +22,11 @@
 SHORTEST_CHANGES_PAUSE_MS = 200.0
 """The pauses of the readers differ, so that one of them mostly has its watch open."""
 
-WAIT_JITTER = 0.2
-"""Keeps the watches of the nodes from ending at the same time."""
-
 
 class StoreReader(published.ItemSource):
     """Lists the store, then watches it, as ``published.StorePosition`` decides.
 
+    ``published.StoreFreshness`` times the watches and tracks whether the store answers.
     Listings are linearizable: a stale one may hold items that a restore has removed.
     """
 
@@ -46,6 +44,9 @@
         self.settings = store_settings
         self.state = state
         self.position = published.StorePosition(state)
+        self.freshness = published.StoreFreshness(
+            time_source, random_source, store_settings
+        )
         self.reader = http_reads.HttpReader(reactor, store_settings.address)
         self.epoch_reader = _store_epoch.EpochReader()
         self.backoff = http_reads.Backoff(
@@ -56,12 +57,9 @@
         """Number of times that reading was stopped."""
 
         self.next_read: interfaces.IDelayedCall | None = None
-        self.is_down = True
-        self.succeeded_at_ms: float | None = None
         self.last_read = published.Revision()
         """The revision of the last successful read."""
 
-        self.recovered_ms = 0.0
         self.had_changes = False
         """Whether the last watch returned changes."""
 
@@ -75,6 +73,9 @@
         self.watched_epoch: int | None = None
         """The history that the watch under way is to continue, if there is one."""
 
+        self.is_watch_replaced = False
+        """Whether the latest watch was cancelled in order to start another one."""
+
         state.observers.append(self._restart_watch)
 
     def start(self) -> None:
@@ -86,20 +87,30 @@
         if not self.is_stopped:
             return
         self.is_stopped = False
-        self.is_down = True
+        self.freshness.start()
         self._read()
 
     def stop(self) -> None:
         """Cancel the current read and start no other."""
         self.is_stopped = True
         self.run += 1
-        self.succeeded_at_ms = None
+        self.freshness.start()
         if self.next_read is not None:
             self.next_read.cancel()
             self.next_read = None
         if self.pending_read is not None:
             self.pending_read.cancel()
 
+    def set_primary(self, is_primary: bool) -> None:
+        """Set whether the zone relies on this reader to notice silent connections.
+
+        A watch that waits too long for that is replaced.
+        """
+        super().set_primary(is_primary)
+        self.freshness.is_primary = is_primary
+        if self.watched_epoch is not None and self.freshness.waits_too_long():
+            self._replace_watch()
+
     def peek(
         self, on_items: Callable[[tuple[published.PublishedItem, ...]], None]
     ) -> None:
@@ -111,19 +122,18 @@
 
     def is_current(self) -> bool:
         """Return whether the last read succeeded and the present one is not overdue."""
-        if self.is_stopped or self.is_down:
+        if self.is_stopped or self.freshness.is_down or self.age_ms() < 0:
             return False
-        longest_ms = self.settings.watch_wait_ms + self.settings.answer_timeout_ms
-        return 0 <= self.age_ms() <= longest_ms
+        return not self.freshness.is_overdue()
 
     def age_ms(self) -> float:
         """Return the time since the last successful read of the state's history.
 
         The result is -1 before the first one.
         """
-        if self.succeeded_at_ms is None or not self.position.is_current():
+        if not self.position.is_current():
             return -1.0
-        return self.clock.now_ms() - self.succeeded_at_ms
+        return self.freshness.age_ms()
 
     def read_revision(self) -> published.Revision:
         """Return the revision that this node has itself read up to."""
@@ -131,7 +141,7 @@
 
     def recovered_at_ms(self) -> float:
         """Return when the store last answered after an outage or a restore."""
-        return self.recovered_ms
+        return self.freshness.recovered_at_ms
 
     def read_counters(self) -> Mapping[str, float]:
         """Return the numbers of answers that were not applied, by reason."""
@@ -140,6 +150,7 @@
             "item_malformed": self.bad_rows,
             "epoch_malformed": self.epoch_reader.malformed,
             "answer_of_older_history": self.position.rejected_answers,
+            "watch_silent": self.freshness.silent_watches,
         }
 
     def _read(self) -> None:
@@ -156,14 +167,16 @@
             has_pause = self.had_changes or self.position.repeats_listings()
             pause_ms = self._draw_changes_pause_ms() if has_pause else 0.0
         else:
-            self._record_failure(problem)
+            self.freshness.record_failure(str(problem))
             pause_ms = self.backoff.next_ms()
         self.next_read = self.reactor.callLater(pause_ms / 1_000.0, self._read)
-        self.on_read_end()
+        if not self.is_watch_replaced:
+            self.on_read_end()
 
     async def _read_once(self) -> str | None:
         """List or watch once; return the reason of a failure, or ``None``."""
         self.had_changes = False
+        self.is_watch_replaced = False
         try:
             if self.position.is_listing_due():
                 return await self._list()
@@ -178,7 +191,9 @@
         revision: published.Revision | None = None
         query = {"prefix": ""}
         while True:
-            answer = await self._get("/kv-range", query, 0.0)
+            answer = await self._get(
+                "/kv-range", query, self.settings.answer_timeout_ms
+            )
             if answer.status != _store_answer.OK:
                 return f"listing failed: {answer.status}"
             rows = answer.read_items("items")
@@ -197,14 +212,19 @@
         return None
 
     async def _watch(self, after: published.Revision) -> str | None:
-        wait_ms = self._draw_wait_ms()
+        wait_ms = self.freshness.start_watch(self.position.is_current())
         query = {"prefix": "", "after": str(after.number), "wait_ms": str(wait_ms)}
         self.watched_epoch = after.epoch
-        answer = await self._get("/kv-watch", query, wait_ms)
+        timeout_ms = self.freshness.timeout_ms(wait_ms)
+        answer = await self._get("/kv-watch", query, timeout_ms)
         self.watched_epoch = None
-        if max(self.state.revision.epoch, answer.epoch) > after.epoch:
+        newest_epoch = max(self.state.revision.epoch, answer.epoch)
+        if self.is_watch_replaced or newest_epoch > after.epoch:
             # Peers have brought a newer history, or this answer shows one.
             return None
+        if wait_ms and answer.status == http_reads.ReadProblem.SILENT.value:
+            self.freshness.record_silence(wait_ms)
+            return None
         if answer.status == _store_answer.GONE:
             self.position.record_expired(after)
             return None
@@ -229,36 +249,27 @@
                 extra={"items": len(rows.problems), "first": rows.problems[0]},
             )
 
-    def _draw_wait_ms(self) -> int:
-        """Return how long the next watch waits.
-
-        It does not wait after an outage nor in a history not read before, so that the
-        node soon knows whether it is up to date.
-        """
-        if self.is_down or not self.position.is_current():
-            return 0
-        jitter = 1.0 - WAIT_JITTER * self.random.random()
-        return int(self.settings.watch_wait_ms * jitter)
-
     def _draw_changes_pause_ms(self) -> float:
         return self.random.uniform(SHORTEST_CHANGES_PAUSE_MS, LONGEST_CHANGES_PAUSE_MS)
 
     def _apply(self, changes: published.Changes) -> None:
         # Recorded first: removals after an outage or a restore have to wait.
-        has_recovered = self._record_success(changes.revision.epoch)
+        is_new_history = changes.revision.epoch != self.position.read_epoch
+        self.position.read_epoch = changes.revision.epoch
+        has_recovered = self.freshness.record_success(is_new_history)
         self.last_read = changes.revision
         self.state.apply(changes)
         if has_recovered:
             _LOG.info("store answers", extra={"revision": str(changes.revision)})
 
     async def _get(
-        self, path: str, query: dict[str, str], wait_ms: float
+        self, path: str, query: dict[str, str], timeout_ms: float
     ) -> _store_answer.StoreAnswer:
         """Return the answer of the store, whose history is recorded."""
         known_epoch = self.state.revision.epoch
         read = await self.reader.get(
             f"{path}?{parse.urlencode(query)}",
-            wait_ms + self.settings.answer_timeout_ms,
+            timeout_ms,
             _stale_page.find_max_answer_bytes(self.settings),
         )
         if isinstance(read, result.Err):
@@ -277,22 +288,11 @@
         """End the watch under way if peers have brought a newer history."""
         epoch = self.watched_epoch
         if epoch is not None and epoch < self.state.revision.epoch:
-            self.watched_epoch = None
-            if self.pending_read is not None:
-                self.pending_read.cancel()
-
-    def _record_success(self, epoch: int) -> bool:
-        """Return whether this is the first success after an outage or a restore."""
-        now_ms = self.clock.now_ms()
-        self.succeeded_at_ms = now_ms
-        if not self.is_down and epoch == self.position.read_epoch:
-            return False
-        self.is_down = False
-        self.position.read_epoch = epoch
-        self.recovered_ms = now_ms
-        return True
-
-    def _record_failure(self, reason: Any) -> None:
-        if not self.is_down:
-            self.is_down = True
-            _LOG.warning("store lost", extra={"reason": str(reason)})
+            self._replace_watch()
+
+    def _replace_watch(self) -> None:
+        """Cancel the watch under way; the next one starts at once."""
+        self.watched_epoch = None
+        self.is_watch_replaced = True
+        if self.pending_read is not None:
+            self.pending_read.cancel()
--- a/src/jujubetiller/published/_item_source.py
+++ b/src/jujubetiller/published/_item_source.py
@@ -16,6 +16,8 @@
     on_read_end: Callable[[], None] = staticmethod(_do_nothing)
     """Called after each read, whether it succeeded or failed."""
 
+    is_primary: bool = False
+
     @abc.abstractmethod
     def start(self) -> None:
         """Start reading; no effect if that is done already."""
@@ -24,6 +26,13 @@
     def stop(self) -> None:
         """Stop reading; ``start`` may be called again."""
 
+    def set_primary(self, is_primary: bool) -> None:
+        """Set whether this source has to notice soon that its connection is silent.
+
+        The others of its zone rely on it for that.
+        """
+        self.is_primary = is_primary
+
     def peek(
         self,
         on_items: Callable[[tuple[_published_item.PublishedItem, ...]], None],
--- a/src/jujubetiller/readers/_reader_choice.py
+++ b/src/jujubetiller/readers/_reader_choice.py
@@ -97,6 +97,14 @@
         is_first = self.own in up[:READERS_PER_ZONE]
         return is_first or reads_alone or now_ms < self.asked_until_ms
 
+    def is_primary(self) -> bool:
+        """Return whether this node is the first reader of its zone, or the only one.
+
+        It is the one that has to notice soon that the store's connections are silent.
+        """
+        ranks = self.readers()
+        return not ranks or ranks[0] == self.own
+
     def record_asked(self) -> None:
         """Record that a node of the zone asks this one as a reader."""
         now_ms = self.clock.now_ms()
--- a/src/jujubetiller/settings/_store_settings.py
+++ b/src/jujubetiller/settings/_store_settings.py
@@ -13,10 +13,19 @@
 
     watch_wait_ms: int = _fields.whole_number(4_500, 100, 30_000)
     """The longest wait of one watch. A connection that no longer answers is detected
-    only after it; until then, other readers send the changes."""
+    only after it; until then, the primary reader of the zone sends the changes."""
+
+    primary_wait_ms: int = _fields.whole_number(1_800, 100, 30_000)
+    """The longest time from one read of the primary reader of a zone to the end of its
+    next watch. It bounds how long all readers can miss changes if their connections
+    no longer answer."""
+
+    watch_answer_ms: int = _fields.whole_number(500, 50, 60_000)
+    """Time beyond the wait of a watch after which its connection counts as silent, and
+    the store is read over a new one."""
 
     answer_timeout_ms: int = _fields.whole_number(1_500, 50, 60_000)
-    """Time beyond the wait of a watch after which its answer counts as lost."""
+    """Time after which the answer to a read that does not wait counts as lost."""
 
     longest_pause_ms: int = _fields.whole_number(1_000, 50, 60_000)
     """The longest pause between reads that fail. Changes must be in force soon after
--- a/standins/fleet/store_fleet.py
+++ b/standins/fleet/store_fleet.py
@@ -7,7 +7,7 @@
 from standins.fleet import _process, _process_clock, mesh_fleet
 
 STORE_ADDRESS = settings.Address("127.0.8.1", 8309)
-STORE_ZONE = "store"
+STORE_NAME = STORE_ZONE = "store"
 
 
 class StoreFleet(mesh_fleet.MeshFleet):
@@ -18,7 +18,7 @@
 
     def start_store(self) -> None:
         """Start the store in a process and a zone of its own."""
-        process = self.network.start("store", STORE_ZONE)
+        process = self.network.start(STORE_NAME, STORE_ZONE)
         self.store = store.PublishedStore()
         self.store_site = mesh_site.StoreSite(process, self.store)
         factory = edge.PipelinedFactory(
@@ -71,6 +71,11 @@
         self.network.cut(zone, STORE_ZONE)
         self.network.cut(STORE_ZONE, zone)
 
+    def silence_store(self) -> None:
+        """Let the open connections to the store go silent; new ones work."""
+        for name in self.places:
+            self.network.silence(name, STORE_NAME)
+
     def versions(self) -> dict[str, int]:
         """Return the version of the configuration that each node applies."""
         return {name: version_of(node) for name, node in self.nodes.items()}
--- a/tests/mesh/store_fault_sequence.py
+++ b/tests/mesh/store_fault_sequence.py
@@ -66,9 +66,9 @@
         self.late: list[LateVersion] = []
         self.fleet.network.run_for(STABLE_AFTER_MS)
 
-    def run(self) -> None:
-        """Play the sequence."""
-        actions = (
+    def run(self, has_silences: bool = False) -> None:
+        """Play the sequence; ``has_silences`` adds connections that go silent."""
+        actions: tuple[Callable[[], None], ...] = (
             *[self.publish] * 5,
             *[self.restore] * 2,
             *[self.write_unreadable_entry] * 2,
@@ -78,6 +78,8 @@
             self.freeze_node,
             self.compact,
         )
+        if has_silences:
+            actions = (*actions, *[self.silence_store] * 3, *[self.silence_all] * 2)
         for _ in range(self.random.randint(6, 24)):
             delay_ms = self.random.uniform(0.0, FAULTS_END_MS)
             self.after(delay_ms, self.random.choice(actions))
@@ -180,6 +182,25 @@
             if name.endswith(zone):
                 self.disturb(name, 0.0)
 
+    def silence_store(self) -> None:
+        """Let the open connections to the store go silent, at times twice in a row."""
+        self.silence_open_connections()
+        if self.random.random() < 0.5:
+            delay_ms = self.random.uniform(0.0, STABLE_AFTER_MS)
+            self.after(delay_ms, self.silence_open_connections)
+
+    def silence_open_connections(self) -> None:
+        self.fleet.silence_store()
+        for name in SERVICES:
+            self.disturb(name, 0.0)
+
+    def silence_all(self) -> None:
+        """The same with the streams between nodes."""
+        self.silence_open_connections()
+        for name in SERVICES:
+            for other in SERVICES:
+                self.fleet.network.silence(name, other)
+
     def cut_zones(self) -> None:
         one, other = self.random.sample(ZONES, 2)
         cuts = {(one, other), (other, one)}
--- a/tests/mesh/test_store_readers.py
+++ b/tests/mesh/test_store_readers.py
@@ -12,6 +12,9 @@
 APPLY_MS = 2_000.0
 """A change of the configuration is in force this long after its acknowledgement."""
 
+STABLE_WINDOW_MS = 3_000.0
+"""Configurations are in force again this long after connections went silent."""
+
 SPARE_MS = 500.0
 
 SPREAD_MS = 1_000.0
@@ -37,6 +40,15 @@
     ]
 
 
+def find_primary(fleet: store_fleet.StoreFleet, zone: str) -> str:
+    """Return the reader of a zone that the others rely on."""
+    return next(
+        name
+        for name in find_readers(fleet, zone)
+        if fleet.nodes[name].reading.choice.is_primary()
+    )
+
+
 def find_versions(fleet: store_fleet.StoreFleet, zone: str = "") -> set[int]:
     """Return the versions in force at the nodes that are up."""
     return {
@@ -108,6 +120,39 @@
     assert fleet.store_site.calls - calls <= 4 * READERS
 
 
+@pytest.mark.parametrize("since_change_ms", [20.0, 400.0, 1_200.0, 2_500.0, 4_400.0])
+@pytest.mark.parametrize("is_primary_lost", [False, True])
+def test_a_change_is_in_time_after_all_connections_to_the_store_went_silent(
+    since_change_ms: float, is_primary_lost: bool
+) -> None:
+    """Guards against readers that all wait for silent connections at the same time.
+
+    An earlier change makes them all start their watches within a second.
+    """
+    fleet = make_fleet(30)
+    fleet.network.run_for(5_000.0)
+    fleet.publish_configuration(20, "booth")
+    fleet.network.run_for(since_change_ms)
+    fleet.silence_store()
+    if is_primary_lost:
+        fleet.network.vanish(fleet.network.processes[find_primary(fleet, "1")])
+    fleet.network.run_for(500.0)
+    fleet.publish_configuration(24, "booth")
+    fleet.network.run_for(STABLE_WINDOW_MS - 500.0)
+    assert find_versions(fleet) == {24}
+
+
+def test_a_change_is_in_time_after_a_second_silence() -> None:
+    fleet = make_fleet(30)
+    fleet.network.run_for(5_000.0)
+    fleet.silence_store()
+    fleet.publish_configuration(20, "booth")
+    fleet.network.run_for(1_900.0)
+    fleet.silence_store()
+    fleet.network.run_for(STABLE_WINDOW_MS)
+    assert find_versions(fleet) == {20}
+
+
 def test_a_fleet_that_lost_power_reads_little_and_is_soon_ready() -> None:
     fleet = make_fleet(30)
     before = fleet.store_site.calls
--- a/tests/platform/test_decoder.py
+++ b/tests/platform/test_decoder.py
@@ -188,6 +188,27 @@
     assert loaded.grace_ms == 6_000
 
 
+@pytest.mark.parametrize(
+    ("apply", "stable"),
+    [("2000ms", "3000ms"), ("3s", "4s"), ("2.5s", "3s"), ("3s", "1s"), ("6s", "3s")],
+)
+def test_a_silent_store_is_noticed_before_changes_must_be_in_force(
+    apply: str, stable: str
+) -> None:
+    """Guards against waits that fit the bounds of one deployment only."""
+    bounds = f'[bounds]\nconfig_apply = "{apply}"\nstable_window = "{stable}"\n'
+    text = documents.SETTINGS.replace("[bounds]\n", bounds)
+    assert bounds in text
+    loaded = platform.load_settings(text.encode()).unwrap()
+    store = loaded.store
+    noticed_ms = store.primary_wait_ms + store.watch_answer_ms
+    limit_ms = max(
+        float(each.rstrip("ms")) * (1 if "ms" in each else 1_000)
+        for each in (apply, stable)
+    )
+    assert noticed_ms + loaded.exchange_ms <= limit_ms
+
+
 @pytest.mark.parametrize(
     ("old", "new", "field"),
     [
