Check again at the start of a call whether its instance leaves

Cause: requests that ran at a crash wait for their trial, for up to half of their time, at the node of another instance. The node checked whether a call may run there at its arrival only, and knew of the leaving 2.4 s before the start. Evidence: the request's log line has one send, took_ms 3310.8 and no queueing delay; no line told of the wait for a trial. `trial started` does now. Change: IngressCall checks at arrival and at its start whether the instance is leaving, replaced or gone, or the node stops too soon, and refuses as not run. SuspectQueue ends the waits at an instance that leaves. Why it works: one check behind all waits; the caller's node sends the call on.

--- a/src/jujubetiller/crashes/_crash_containment.py
+++ b/src/jujubetiller/crashes/_crash_containment.py
@@ -71,6 +71,7 @@
             crash_settings,
             self._announce_trial,
             self.may_try,
+            is_leaving,
         )
         self.count_peers: Callable[[], int] = _count_none
         """Returns the number of the other nodes beside instances of the service."""
--- a/src/jujubetiller/crashes/_suspect_call.py
+++ b/src/jujubetiller/crashes/_suspect_call.py
@@ -32,3 +32,6 @@
     start: Callable[[], None]
     refuse: Callable[[codes.ResultCode], None]
     state: SuspectState = SuspectState.WAITING
+
+    waits_from_ms: float = 0.0
+    """When the call began to wait for its trial."""
--- a/src/jujubetiller/crashes/_suspect_queue.py
+++ b/src/jujubetiller/crashes/_suspect_queue.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable, Iterable
 
+import logbook
+
 from jujubetiller import clock, codes, settings
 from jujubetiller.crashes import (
     _crash_evidence,
@@ -10,6 +12,8 @@
     _suspect_call,
 )
 
+_LOG = logbook.Logger("jujubetiller.crashes")
+
 _Call = _suspect_call.SuspectCall
 _State = _suspect_call.SuspectState
 _Standing = _standing.Standing
@@ -21,7 +25,8 @@
 
     Copies of a request that another node has on trial wait for its end, so that one
     request crashes one instance at a time. Calls whose request is cleared meanwhile
-    start at once, those of a blamed one are refused.
+    start at once, those of a blamed one are refused. An instance that leaves gets no
+    further trial.
     """
 
     def __init__(
@@ -31,6 +36,7 @@
         crash_settings: settings.CrashSettings,
         announce: Callable[[_crash_message.Trial], None],
         may_try: Callable[[], bool],
+        is_leaving: Callable[[], bool],
     ) -> None:
         self.clock = time_source
         self.evidence = evidence
@@ -41,6 +47,9 @@
         self.may_try = may_try
         """Returns whether the service can spare this node's instance now."""
 
+        self.is_leaving = is_leaving
+        """Returns whether the node's instance is about to stop as planned."""
+
         self.waiting: list[_Call] = []
         self.running: _Call | None = None
         self.trials_elsewhere: dict[int, float] = {}
@@ -95,6 +104,9 @@
 
     def _advance_once(self) -> bool:
         """Handle one waiting call; return whether there was one to handle."""
+        if self.waiting and self.is_leaving():
+            self._refuse_all()
+            return True
         for call in self.waiting:
             if call.waits_until.has_passed(self.clock):
                 self._end_waiting(call)
@@ -121,6 +133,14 @@
         call = min(free, key=lambda each: self.evidence.rank(each.fingerprint))
         self._end_waiting(call)
         self.running = call
+        _LOG.info(
+            "trial started",
+            extra={
+                "fingerprint": _crash_evidence.describe(call.fingerprint),
+                "waited_ms": round(self.clock.now_ms() - call.waits_from_ms, 1),
+                "waiting": len(self.waiting),
+            },
+        )
         lasts_ms = call.deadline.left_ms(self.clock)
         self.announce(_crash_message.Trial(call.fingerprint, lasts_ms))
         self._start(call)
@@ -134,6 +154,14 @@
             if ends_at_ms > now_ms
         }
 
+    def _refuse_all(self) -> None:
+        """End all waits, as their calls can only run at other instances."""
+        waiting, self.waiting = self.waiting, []
+        _LOG.info("no more trials: the instance leaves", extra={"calls": len(waiting)})
+        for call in waiting:
+            call.state = _State.ENDED
+            call.refuse(_Code.DRAINING)
+
     def _end_waiting(self, call: _Call) -> None:
         self.waiting.remove(call)
         call.state = _State.ENDED
@@ -149,6 +177,7 @@
             call.refuse(_Code.SUSPECT_NOT_TRIED)
             return
         self.evidence.record_arrival(call.fingerprint)
+        call.waits_from_ms = self.clock.now_ms()
         self.waiting.append(call)
         self.advance()
 
--- a/src/jujubetiller/mesh/_ingress_call.py
+++ b/src/jujubetiller/mesh/_ingress_call.py
@@ -60,8 +60,7 @@
 
     def begin(self) -> None:
         """Start, queue or refuse the call."""
-        needed_ms = _mesh_parts.FINISH_FACTOR * self.parts.guard.mean_run_ms
-        if not self.parts.can_finish(needed_ms):
+        if self.must_run_elsewhere():
             self.refuse(_Code.DRAINING)
             return
         caller = find_header(self.request.headers, self.parts.headers.caller_service)
@@ -78,6 +77,16 @@
         )
         containment.submit(self.contained)
 
+    def must_run_elsewhere(self) -> bool:
+        """Return whether the instance leaves, or the node stops too soon for the call.
+
+        This may change while the call waits, so it is checked again at its start.
+        """
+        if self.parts.is_leaving(self.request.expected_instance):
+            return True
+        needed_ms = _mesh_parts.FINISH_FACTOR * self.parts.guard.mean_run_ms
+        return not self.parts.can_finish(needed_ms)
+
     def enter_guard(self) -> None:
         """Submit the call to the guard, which starts or queues it."""
         self.parts.guard.submit(self.entry)
@@ -85,7 +94,11 @@
             self.parts.guard_timer.arm()
 
     def start(self) -> None:
-        """Send the call to the target."""
+        """Send the call to the target, unless it has to run elsewhere by now."""
+        if self.must_run_elsewhere():
+            self.parts.guard.abandoned(self.entry)
+            self.refuse(_Code.DRAINING)
+            return
         self.parts.delays.record(self.entry.wait_ms)
         request = self.request
         names = self.parts.headers
--- a/src/jujubetiller/mesh/_instance_directory.py
+++ b/src/jujubetiller/mesh/_instance_directory.py
@@ -127,6 +127,16 @@
         """Return whether the own instance is said to leave, or is not listed."""
         return self.own is None or self.own.draining
 
+    def is_leaving(self, name: str) -> bool:
+        """Return whether the instance ``name`` is leaving, replaced or gone.
+
+        The result is False for an instance that was never listed.
+        """
+        listed = self.listed.get(name)
+        if listed is None:
+            return name in self.removed
+        return listed.instance.draining or listed.is_replaced
+
     def peers(self) -> list[settings.Address]:
         """Return the addresses of the other nodes, in a fixed order."""
         hosts = {
--- a/src/jujubetiller/mesh/_mesh_parts.py
+++ b/src/jujubetiller/mesh/_mesh_parts.py
@@ -89,6 +89,12 @@
             return self.can_finish(route.latency_objective_ms)
         return self.can_finish(FINISH_FACTOR * usual_ms)
 
+    def is_leaving(self, instance: str) -> bool:
+        """Return whether ``instance`` is listed as leaving, or has said so itself."""
+        if instance == self.notices.instance and self.notices.is_leaving:
+            return True
+        return self.directory.is_leaving(instance)
+
     def is_ready(self) -> bool:
         """Return whether the node can route requests as its peers do."""
         return (
--- a/standins/fleet/mesh_fleet.py
+++ b/standins/fleet/mesh_fleet.py
@@ -229,10 +229,12 @@
     return text.replace('zone = "a"', f'zone = "{place.zone}"').encode()
 
 
-def make_configuration(version: int = 12, service: str = "booth") -> bytes:
+def make_configuration(
+    version: int = 12, service: str = "booth", timeout: str = "3000ms"
+) -> bytes:
     """Return a configuration that routes ``get`` and ``book`` to ``service``."""
     rule = documents.CONFIGURATION["listeners"][0]["rules"][1]
-    action = {"service": service, "timeout": "3000ms", "max_attempts": 2}
+    action = {"service": service, "timeout": timeout, "max_attempts": 2}
     get = {"name": "get", "kind": "idempotent", "priority": READ_CLASS}
     book = {"name": "book", "kind": "non_idempotent", "priority": BOOK_CLASS}
     rules = [
--- a/tests/crashes/test_suspect_queue.py
+++ b/tests/crashes/test_suspect_queue.py
@@ -15,6 +15,7 @@
         self.started: list[int] = []
         self.refusals: list[tuple[int, codes.ResultCode]] = []
         self.can_spare_instance = True
+        self.instance_leaves = False
         crash_settings = settings.CrashSettings(**bounds)
         super().__init__(
             self.manual_clock,
@@ -22,6 +23,7 @@
             crash_settings,
             lambda trial: self.trials.append((trial.fingerprint, trial.lasts_ms)),
             lambda: self.can_spare_instance,
+            lambda: self.instance_leaves,
         )
         self.evidence.record_crash("first", [ONE, TWO, THREE])
 
@@ -123,3 +125,19 @@
     queue.can_spare_instance = True
     queue.advance()
     assert queue.started == [9, ONE]
+
+
+def test_calls_do_not_wait_for_a_trial_at_an_instance_that_leaves() -> None:
+    """Guards against suspects that are started when their instance is about to end."""
+    queue = Queue()
+    running = queue.send(ONE)
+    queue.send(TWO)
+    queue.send(THREE)
+    queue.instance_leaves = True
+    queue.advance()
+    assert queue.refusals == [
+        (TWO, codes.ResultCode.DRAINING),
+        (THREE, codes.ResultCode.DRAINING),
+    ]
+    queue.finish(running)
+    assert queue.started == [ONE]
--- a/tests/mesh/test_ingress.py
+++ b/tests/mesh/test_ingress.py
@@ -1,5 +1,7 @@
 """Guards against wrong result codes for the target's responses."""
 
+from collections.abc import Callable
+
 import logbook
 import pytest
 
@@ -190,3 +192,45 @@
     node.list_instance(local_mesh.OWN, born=1_700_000_009_000, sequence=1)
     assert not node.parts.notices.is_leaving
     assert node.parts.guard.rate_limit.per_s is None
+
+
+def say_leaving_in_the_list(node: local_mesh.LocalMesh) -> None:
+    node.list_instance(local_mesh.OWN, state="draining", sequence=9)
+
+
+def remove_from_the_list(node: local_mesh.LocalMesh) -> None:
+    node.remove_instance(local_mesh.OWN)
+    node.confirm_removals()
+
+
+def say_leaving_in_an_answer(node: local_mesh.LocalMesh) -> None:
+    echo = ("jujubetiller-request-id", "r1")
+    node.target.requests[0].answer(200, STAMP, echo, ("Server-Leaving", "1"))
+
+
+@pytest.mark.parametrize(
+    "leave", [say_leaving_in_the_list, remove_from_the_list, say_leaving_in_an_answer]
+)
+def test_a_call_that_waited_is_not_started_at_an_instance_that_leaves(
+    leave: Callable[[local_mesh.LocalMesh], None],
+) -> None:
+    """Guards against calls that reach an instance long after it began to leave."""
+    node = local_mesh.LocalMesh()
+    for _ in range(40):
+        node.receive_call()
+    started = len(node.target.requests)
+    leave(node)
+    for request in node.target.requests[:started]:
+        request.answer(200, STAMP)
+    assert len(node.target.requests) == started
+    refused = [answer for answer in node.answers if answer.code is Code.DRAINING]
+    assert len(refused) == 40 - started
+    assert node.parts.guard.in_flight == 0
+    node.receive_call()
+    assert node.answers[-1].code is Code.DRAINING
+
+
+def test_an_instance_that_this_node_has_not_seen_in_the_list_gets_calls() -> None:
+    node = local_mesh.LocalMesh()
+    node.receive_call(expected_instance="own-2")
+    assert len(node.target.requests) == 1
