Join the parts of a response's body as they arrive

Callers saw (report of other operators): a faulty instance sends an answer without end, the node beside it runs out of memory, and the requests of all other clients of that node end. Cause: each chunk of a body was kept as an object of its own, over 30 bytes beside its content, and only the content was counted against max_held_bytes. Change: BodyBuffer appends each part to one buffer. Bodies of the store's answers use it too. Why it works: what is counted is what is held, so the existing bounds hold.

--- a/src/jujubetiller/http_reads/_body_protocol.py
+++ b/src/jujubetiller/http_reads/_body_protocol.py
@@ -4,6 +4,8 @@
 from twisted.python import failure
 from twisted.web import client, http
 
+from jujubetiller import buffers
+
 
 class BodyTooLargeError(Exception):
     """Raised when a body exceeds the size limit."""
@@ -17,7 +19,7 @@
 
     def __init__(self, max_bytes: int) -> None:
         self.max_bytes = max_bytes
-        self.received: list[bytes] = []
+        self.received = buffers.BodyBuffer()
         self.size = 0
         self.finished: defer.Deferred[bytes] = defer.Deferred(self._abort)
 
@@ -28,13 +30,13 @@
             self._fail(BodyTooLargeError(f"more than {self.max_bytes} bytes"))
             self._abort(self.finished)
             return
-        self.received.append(data)
+        self.received.add(data)
 
     def connectionLost(self, reason: failure.Failure = protocol.connectionDone) -> None:
         """Finish; the body is complete only if its length or framing confirms it."""
         if reason.check(client.ResponseDone):
             if not self.finished.called:
-                self.finished.callback(b"".join(self.received))
+                self.finished.callback(self.received.take())
         else:
             self._fail(reason.value or http.PotentialDataLoss())
 
--- a/src/jujubetiller/target/_target_connection.py
+++ b/src/jujubetiller/target/_target_connection.py
@@ -7,7 +7,7 @@
 from twisted.internet import error, protocol
 from twisted.python import failure
 
-from jujubetiller import calls, codes, transports
+from jujubetiller import buffers, calls, codes, transports
 from jujubetiller.target import (
     _response_size,
     _target_call,
@@ -50,7 +50,7 @@
         self.call: _target_call.TargetCall | None = None
         self.idle_since_ms = client.clock.now_ms()
         self.is_open = False
-        self.body_parts: list[bytes] = []
+        self.body = buffers.BodyBuffer()
         self.size = _response_size.ResponseSize(client.memory)
         self.response_headers: list[tuple[str, str]] = []
         self.received_any = False
@@ -104,7 +104,7 @@
     def reset_response(self) -> None:
         """Discard what was parsed so far and expect the head of a response."""
         self.size.discard()
-        self.body_parts = []
+        self.body.clear()
         self.response_headers = []
         self.head_is_complete = False
         self.echoed = None
@@ -207,7 +207,7 @@
             self.keep_alive = False
             return
         if self.size.add_body(len(data), self.client.settings.max_answer_bytes):
-            self.body_parts.append(data)
+            self.body.add(data)
 
     def on_message_complete(self) -> None:
         """Complete the response; discard an interim one or one to another request."""
@@ -232,7 +232,7 @@
             code=codes.ResultCode.ANSWERED,
             status=self.status,
             headers=tuple(self.response_headers),
-            body=b"".join(self.body_parts),
+            body=self.body.take(),
         )
         self.call = self.parser = None
         self.reset_response()
--- a/tests/target/test_failing_targets.py
+++ b/tests/target/test_failing_targets.py
@@ -1,5 +1,7 @@
 """Guards against targets in trouble: bytes without end, and answers to others."""
 
+import tracemalloc
+
 import pytest
 
 from jujubetiller import calls, codes, target
@@ -194,3 +196,31 @@
         harness.close_connection(connection)
         code = harness.codes()[-1]
         assert codes.describe(code).outcome is codes.Outcome.UNKNOWN, head[:length]
+
+
+@pytest.mark.parametrize("chunk_bytes", [1, 2, 3, 8, 100])
+def test_a_body_in_small_chunks_occupies_what_is_counted(chunk_bytes: int) -> None:
+    """Guards against responses whose small chunks exceed the memory of the node.
+
+    Each chunk was kept as an object, which takes over 30 bytes beside its content.
+    """
+    harness = test_target_client.Harness(max_answer_bytes=MAX_ANSWER_BYTES)
+    send(harness, "own")
+    connection = harness.accept()
+    connection.dataReceived(CHUNKED)
+    chunk = b"%x\r\n%b\r\n" % (chunk_bytes, b"x" * chunk_bytes)
+    segment = chunk * (SEGMENT_BYTES // len(chunk))
+    body_bytes = SEGMENT_BYTES // len(chunk) * chunk_bytes
+    tracemalloc.start()
+    try:
+        for _ in range(MAX_ANSWER_BYTES // body_bytes):
+            connection.dataReceived(segment)
+        occupied_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert not harness.responses
+    assert occupied_bytes <= 2 * harness.client.memory.held_bytes
+    connection.dataReceived(b"0\r\n\r\n")
+    (response,) = harness.responses
+    assert response.code is _Code.ANSWERED
+    assert set(response.body) == {ord("x")}
