Let clients and peers take their answers before a node stops

Cause: a request counted as ended when its answer was handed to the transport, so the drain closed the node while connections still held most of the bytes. Evidence: `stopped` with nothing in flight while the clients read. Change: the drain also waits for open connections of clients, which close behind their last answer, and for answers that peers have not taken, until the end that it has in any case.

Tests: 2 of 3 new tests in tests/mesh/test_drain.py fail before; the third guards the end of the grace period.

--- a/src/jujubetiller/mesh/_drain.py
+++ b/src/jujubetiller/mesh/_drain.py
@@ -57,6 +57,16 @@
         under_way = self.parts.state.requests_under_way
         return under_way + guard.in_flight + guard.queue_length
 
+    def has_unsent_answers(self) -> bool:
+        """Return whether a client or a peer has not taken all of an answer yet.
+
+        A connection of a client is closed behind its last answer, so one that is still
+        open waits for its client to read.
+        """
+        return bool(self.edges["egress"].channels) or (
+            self.parts.pool.has_unsent_answers()
+        )
+
     def poll(self) -> None:
         """Close the node once nothing is in flight or the grace period is over."""
         elapsed_ms = self.parts.clock.now_ms() - self.started_at_ms
@@ -69,7 +79,8 @@
             self.stop_listening()
         in_flight = self.count_in_flight()
         is_overdue = elapsed_ms >= self.times.end_ms
-        if is_overdue or (in_flight == 0 and state.refuses_clients):
+        is_done = in_flight == 0 and state.refuses_clients
+        if is_overdue or (is_done and not self.has_unsent_answers()):
             self.close(in_flight)
         else:
             self.parts.reactor.callLater(POLL_MS / 1000.0, self.poll)
@@ -84,8 +95,8 @@
     def close(self, left_over: int) -> None:
         """Close the streams and report requests and calls that did not finish.
 
-        Clients and peers may still be reading long answers; they get the rest of
-        the grace period for that, within ``MAX_FLUSH_MS``.
+        What the streams still hold is written within ``MAX_FLUSH_MS``, and within the
+        rest of the grace period.
         """
         if left_over:
             self.parts.metrics.count_drain_leftovers(left_over)
--- a/src/jujubetiller/streams/_stream_pool.py
+++ b/src/jujubetiller/streams/_stream_pool.py
@@ -211,6 +211,10 @@
         for stream in self._streams():
             stream.send_goaway(codes.ResultCode.DRAINING, closing=False)
 
+    def has_unsent_answers(self) -> bool:
+        """Return whether a peer waits for an answer, or has not taken all of one."""
+        return any(stream.has_work() for stream in self.listener.streams)
+
     def is_suspect(self, address: settings.Address) -> bool:
         """Return whether the peer is silent or the last connection attempt failed."""
         slot = self.slots.get(address)
--- a/tests/mesh/test_drain.py
+++ b/tests/mesh/test_drain.py
@@ -38,6 +38,7 @@
     def __init__(self) -> None:
         self.mesh = local_mesh.LocalMesh()
         self.announced = self.aborted = 0
+        self.peers_read = False
         self.pool_closed: defer.Deferred[None] = defer.Deferred()
         pool: Any = self.mesh.pool
         self.mesh.parts.pool = self  # type: ignore[assignment]
@@ -55,6 +56,9 @@
         self.left_over: list[int] = []
         self.drain.finished.addCallback(self.left_over.append)
 
+    def has_unsent_answers(self) -> bool:
+        return self.peers_read
+
     def announce_draining(self) -> None:
         self.announced += 1
 
@@ -250,3 +254,41 @@
     assert len(node.mesh.target.requests) == is_run
     codes_ = [answer.code for answer in node.mesh.answers]
     assert codes_ == [codes.ResultCode.DRAINING] * (not is_run)
+
+
+def test_a_client_that_reads_slowly_has_until_the_end_of_the_stop() -> None:
+    """Guards against an answer that is cut off although the grace period is not over.
+
+    The request has ended, but its connection holds what the client has not read.
+    """
+    node = DrainingNode()
+    node.mesh.send_request("/book/1")
+    node.drain.start()
+    node.mesh.answer_call()
+    node.busy.requests.clear()
+    node.advance(5.2)
+    assert (node.left_over, node.aborted) == ([], 0)
+    node.channels.clear()
+    node.advance(0.1)
+    node.pool_closed.callback(None)
+    assert node.left_over == [0]
+
+
+def test_a_peer_that_reads_slowly_has_until_the_end_of_the_stop() -> None:
+    node = DrainingNode()
+    node.channels.clear()
+    node.peers_read = True
+    node.drain.start()
+    node.advance(5.2)
+    assert (node.left_over, node.aborted) == ([], 0)
+    node.peers_read = False
+    node.advance(0.1)
+    node.pool_closed.callback(None)
+    assert node.left_over == [0]
+
+
+def test_a_client_that_does_not_read_delays_no_stop_beyond_the_grace_period() -> None:
+    node = DrainingNode()
+    node.drain.start()
+    node.advance(5.99)
+    assert node.left_over == [0]
