Free requests when they end, without the garbage collector

Cause: requests stayed in reference cycles (EgressCall and OverdueTimer; IngressCall with GuardEntry, SuspectCall and TargetCall; TargetCall and its timer; TargetConnection and its parser), and connections to the target kept the call that they were opened for. The collector runs rarely here. Change: whoever holds a callback drops it when it is called or can't be called any more; connections and their factories drop the first call.

--- a/src/jujubetiller/crashes/_suspect_call.py
+++ b/src/jujubetiller/crashes/_suspect_call.py
@@ -17,10 +17,10 @@
 
 
 @attrs.define(eq=False)
-class SuspectCall:
+class SuspectCall(calls.StartOrRefuse):
     """One call that may have to be run apart.
 
-    Either ``start`` or ``refuse`` is called, unless the call is cancelled before.
+    Neither ``start`` nor ``refuse`` is called if the call is cancelled before.
     """
 
     fingerprint: int
--- a/src/jujubetiller/crashes/_suspect_queue.py
+++ b/src/jujubetiller/crashes/_suspect_queue.py
@@ -67,6 +67,7 @@
         """Forget a call whose caller no longer waits for it."""
         if call.state is _State.WAITING:
             call.state = _State.ENDED
+            call.drop_callbacks()
             self.waiting.remove(call)
         else:
             self.finish(call)
@@ -110,7 +111,7 @@
         for call in self.waiting:
             if call.waits_until.has_passed(self.clock):
                 self._end_waiting(call)
-                call.refuse(_Code.SUSPECT_NOT_TRIED)
+                call.call_refuse(_Code.SUSPECT_NOT_TRIED)
                 return True
             standing = self.evidence.find_standing(call.fingerprint)
             if standing is not _Standing.SUSPECT:
@@ -160,7 +161,7 @@
         _LOG.info("no more trials: the instance leaves", extra={"calls": len(waiting)})
         for call in waiting:
             call.state = _State.ENDED
-            call.refuse(_Code.DRAINING)
+            call.call_refuse(_Code.DRAINING)
 
     def _end_waiting(self, call: _Call) -> None:
         self.waiting.remove(call)
@@ -168,13 +169,13 @@
 
     def _start(self, call: _Call) -> None:
         call.state = _State.RUNNING
-        call.start()
+        call.call_start()
 
     def _keep(self, call: _Call) -> None:
         """Let a suspect wait for its trial."""
         if len(self.waiting) >= self.settings.max_waiting:
             self.refused += 1
-            call.refuse(_Code.SUSPECT_NOT_TRIED)
+            call.call_refuse(_Code.SUSPECT_NOT_TRIED)
             return
         self.evidence.record_arrival(call.fingerprint)
         call.waits_from_ms = self.clock.now_ms()
@@ -183,7 +184,7 @@
 
     def _refuse(self, call: _Call) -> None:
         call.state = _State.ENDED
-        call.refuse(_Code.REQUEST_CRASHES_TARGETS)
+        call.call_refuse(_Code.REQUEST_CRASHES_TARGETS)
 
 
 _HANDLERS: dict[_Standing, Callable[[SuspectQueue, _Call], None]] = {
--- a/src/jujubetiller/limits/_guard_entry.py
+++ b/src/jujubetiller/limits/_guard_entry.py
@@ -18,10 +18,10 @@
 
 
 @attrs.define(eq=False)
-class GuardEntry:
-    """A call at the guard, which calls either ``start`` or ``refuse``, once.
+class GuardEntry(calls.StartOrRefuse):
+    """A call at the guard, which starts or refuses it.
 
-    It calls neither for a cancelled entry. Either may be called inside ``submit``.
+    It does neither for a cancelled entry, and may do either inside ``submit``.
     """
 
     rank: int
--- a/src/jujubetiller/limits/_target_guard.py
+++ b/src/jujubetiller/limits/_target_guard.py
@@ -146,6 +146,7 @@
         if entry.state is not _State.QUEUED:
             return False
         self.queue.remove(entry)
+        entry.drop_callbacks()
         entry.wait_ms = self.clock.now_ms() - entry.enqueued_at_ms
         return True
 
@@ -272,7 +273,7 @@
         self.starts.record()
         self.rate_limiter.record_start()
         self.refusal_level.record_start()
-        entry.start()
+        entry.call_start()
 
     def _refuse(
         self, entry: _guard_entry.GuardEntry, code: codes.ResultCode, now_ms: float
@@ -282,4 +283,4 @@
         self.refusals[code] += 1
         if code in SHED_CODES:
             self.refusal_level.record_refusal(entry.rank)
-        entry.refuse(code)
+        entry.call_refuse(code)
--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -78,7 +78,7 @@
 
         self.sent_at_ms = 0.0
         self.cancel_attempt: Callable[[], None] | None = None
-        self.overdue_timer = _overdue_timer.OverdueTimer(parts, self.retry_overdue)
+        self.overdue_timer = _overdue_timer.OverdueTimer(parts)
 
     def start(self) -> None:
         """Make the first attempt, unless the route's throttle refuses the request."""
@@ -129,7 +129,9 @@
         request.rate_limit_per_s = self.parts.router.known_rate_limit(instance)
         self.parts.router.record_sent(instance)
         if self.attempts.may_retry_unanswered():
-            self.overdue_timer.start(self.service, self.route.name, self.deadline)
+            self.overdue_timer.start(
+                self.service, self.route.name, self.deadline, self.retry_overdue
+            )
         answered = functools.partial(self.attempt_answered, request.attempt)
         own = self.parts.directory.own
         if own is not None and own.instance == instance.instance:
@@ -235,5 +237,6 @@
                 calls.make_refusal(_Code.CANCELLED_WHILE_RUNNING),
                 self.parts.clock.now_ms() - self.sent_at_ms,
             )
-        if self.cancel_attempt is not None:
-            self.cancel_attempt()
+        cancel_attempt, self.cancel_attempt = self.cancel_attempt, None
+        if cancel_attempt is not None:
+            cancel_attempt()
--- a/src/jujubetiller/mesh/_ingress_call.py
+++ b/src/jujubetiller/mesh/_ingress_call.py
@@ -204,6 +204,7 @@
     def answer_with(self, answer: calls.CallAnswer) -> None:
         """Send the answer, unless the call was answered or cancelled before."""
         reply, self.reply = self.reply, None
+        self.entry.drop_callbacks()
         self.parts.containment.record_end(
             self.contained, self.request, answer.code is _Code.ANSWERED
         )
@@ -231,6 +232,7 @@
         if not self.parts.guard.cancel(self.entry) and self.target_call is not None:
             self.target_call.cancel()
             self.parts.guard.abandoned(self.entry)
+        self.entry.drop_callbacks()
 
 
 def find_header(headers: tuple[tuple[str, str], ...], name: str) -> str | None:
--- a/src/jujubetiller/target/_target_call.py
+++ b/src/jujubetiller/target/_target_call.py
@@ -12,6 +12,10 @@
     from jujubetiller.target import _target_connection
 
 
+def _ignore(response: _target_response.TargetResponse) -> None:
+    """Replace a dropped ``on_end``."""
+
+
 class TargetCall:
     """A request to the target that has not ended yet.
 
@@ -36,8 +40,9 @@
         """Report ``response`` and stop the timer; further calls have no effect."""
         if self.ended:
             return
+        on_end = self.on_end
         self.stop()
-        self.on_end(response)
+        on_end(response)
 
     def fail(self, code: codes.ResultCode) -> None:
         """Report that the request ended without a complete response."""
@@ -52,7 +57,12 @@
             self.connection.abandon()
 
     def stop(self) -> None:
-        """Mark the call as ended and stop its timer."""
+        """Mark the call as ended and stop its timer.
+
+        The timer and ``on_end`` are dropped, as they refer to this call and its owner.
+        """
         self.ended = True
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
+        self.on_end = _ignore
+        timer, self.timer = self.timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
--- a/src/jujubetiller/target/_target_connection.py
+++ b/src/jujubetiller/target/_target_connection.py
@@ -46,7 +46,9 @@
         first_call: _target_call.TargetCall,
     ) -> None:
         self.client = client
-        self.first_call = first_call
+        self.first_call: _target_call.TargetCall | None = first_call
+        """The call that the connection is opened for, until it is open."""
+
         self.call: _target_call.TargetCall | None = None
         self.idle_since_ms = client.clock.now_ms()
         self.is_open = False
@@ -77,10 +79,11 @@
         self.client.open.add(self)
         assert self.transport is not None
         self.transport.setTcpNoDelay(True)  # type: ignore[attr-defined]
-        if self.first_call.ended:
+        call, self.first_call = self.first_call, None
+        if call is None or call.ended:
             self.client.connection_idle(self)
         else:
-            self.send(self.first_call)
+            self.send(call)
 
     def send(self, call: _target_call.TargetCall) -> None:
         """Write the request of ``call``; the connection must be idle."""
@@ -245,6 +248,7 @@
     def fail(self, code: codes.ResultCode) -> None:
         """End the request in progress with ``code`` and close the connection."""
         call, self.call = self.call, None
+        self.parser = None
         self.reset_response()
         self.close()
         if call is not None:
@@ -252,7 +256,7 @@
 
     def abandon(self) -> None:
         """Close the connection without a report, which cancels the request."""
-        self.call = None
+        self.call = self.parser = None
         self.reset_response()
         self.close()
 
@@ -274,6 +278,7 @@
             self.finish()
             return
         call, self.call = self.call, None
+        self.parser = None
         self.reset_response()
         if call is not None:
             self.client.statistics.closed_early += 1
--- a/src/jujubetiller/target/_target_connection_factory.py
+++ b/src/jujubetiller/target/_target_connection_factory.py
@@ -21,17 +21,22 @@
         self, client: "_target_client.TargetClient", call: _target_call.TargetCall
     ) -> None:
         self.client = client
-        self.call = call
+        self.call: _target_call.TargetCall | None = call
+        """The call until the connection is open. The factory exists as long as the
+        connection, which must not keep the request in memory."""
 
     def buildProtocol(
         self, address: interfaces.IAddress | None
     ) -> _target_connection.TargetConnection:
         """Return the connection; it sends the call once it is open."""
-        return _target_connection.TargetConnection(self.client, self.call)
+        call, self.call = self.call, None
+        assert call is not None
+        return _target_connection.TargetConnection(self.client, call)
 
     def clientConnectionFailed(
         self, connector: interfaces.IConnector, reason: failure.Failure
     ) -> None:
         """Report that the call was never sent."""
         self.client.statistics.connections_failed += 1
+        assert self.call is not None
         self.call.fail(codes.ResultCode.TARGET_UNREACHABLE)
