Join the parts of a request's body as they arrive

Cause: the same as for responses: each chunk was kept as an object of its own, and its two bytes were counted against max_body_bytes. Change: the connection collects a body in a BodyBuffer, and drops an incomplete one when its client leaves.

--- a/src/jujubetiller/edge/_pipelined_connection.py
+++ b/src/jujubetiller/edge/_pipelined_connection.py
@@ -7,7 +7,7 @@
 from twisted.internet import protocol
 from twisted.python import failure
 
-from jujubetiller import codes, transports
+from jujubetiller import buffers, codes, transports
 from jujubetiller.edge import (
     _edge_message,
     _edge_reply,
@@ -78,7 +78,7 @@
         self.headers: list[tuple[str, str]] = []
         """Names, in lower case, and values."""
 
-        self.body_parts: list[bytes] = []
+        self.body = buffers.BodyBuffer()
         self.body_bytes = 0
         self.is_too_large = False
         self.head_is_complete = False
@@ -110,9 +110,9 @@
         self.body_bytes += len(data)
         if self.body_bytes > self.factory.max_body_bytes:
             self.is_too_large = True
-            self.body_parts = []
+            self.body.clear()
         if not self.is_too_large:
-            self.body_parts.append(data)
+            self.body.add(data)
 
     def on_message_complete(self) -> None:
         """Start a complete request, or queue it if ``pipeline_depth`` are running."""
@@ -148,7 +148,7 @@
             )
         forwarded, control = self.split_headers()
         method = self.parser.get_method().decode("latin-1")
-        body = b"".join(self.body_parts)
+        body = self.body.take()
         return _edge_message.EdgeMessage(method, path, forwarded, control, body)
 
     def split_headers(self) -> tuple[tuple[tuple[str, str], ...], dict[str, str]]:
@@ -249,6 +249,7 @@
         """Cancel the requests of a client that disconnected."""
         self.factory.channels.discard(self)
         self.is_closing = True
+        self.begin_message()
         self.waiting.clear()
         requests, self.requests = self.requests, collections.deque()
         for exchange in requests:
--- /dev/null
+++ b/tests/edge/test_pipelining.py
@@ -0,0 +1,50 @@
+"""Guards against clients that send ahead and exhaust a node, or wait for nothing."""
+
+import tracemalloc
+
+import pytest
+
+from jujubetiller import edge
+from tests.edge import recording
+
+BODY_BYTES = 200_000
+CHUNKED = "Transfer-Encoding: chunked\r\n"
+SEGMENT_BYTES = 16_384
+MAX_HEAD_BYTES = 65_536
+DEPTH = 3
+
+
+def make_listener() -> recording.Listener:
+    return recording.Listener(
+        max_body_bytes=BODY_BYTES,
+        factory_class=edge.PipelinedFactory,
+        pipeline_depth=DEPTH,
+    )
+
+
+def ok() -> edge.EdgeReply:
+    return edge.EdgeReply(200, [], b"done")
+
+
+@pytest.mark.parametrize("chunk_bytes", [1, 2, 3, 50])
+def test_a_body_in_small_chunks_occupies_little_more_than_its_bytes(
+    chunk_bytes: int,
+) -> None:
+    """Guards against one client that makes a node exceed its memory."""
+    listener = make_listener()
+    connection = listener.connect()
+    connection.request(headers=CHUNKED, method="POST")
+    chunk = b"%x\r\n%b\r\n" % (chunk_bytes, b"x" * chunk_bytes)
+    segment = chunk * (SEGMENT_BYTES // len(chunk))
+    segments = BODY_BYTES // (segment.count(b"\r\n") // 2 * chunk_bytes)
+    tracemalloc.start()
+    try:
+        for _ in range(segments):
+            connection.receive(segment)
+        occupied_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert occupied_bytes <= 2 * BODY_BYTES
+    connection.receive(b"0\r\n\r\n")
+    (message,) = listener.handler.messages
+    assert message.body == b"x" * (segments * segment.count(b"x"))
