Drop the trailers of requests instead of taking them for headers

Cause: the parser reports trailers through the same callback as headers, and the connection appended both. RFC 9110, 6.5.1 forbids to merge them. Change: fields behind the end of the head are dropped.

Test: test_a_trailer_changes_no_header_and_is_not_forwarded fails before.

--- a/src/jujubetiller/edge/_pipelined_connection.py
+++ b/src/jujubetiller/edge/_pipelined_connection.py
@@ -93,7 +93,12 @@
         self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header, with its name in lower case."""
+        """Append a header, with its name in lower case.
+
+        Trailers are dropped: they must not change what the headers say.
+        """
+        if self.head_is_complete:
+            return
         self.headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
--- a/tests/edge/test_pipelining.py
+++ b/tests/edge/test_pipelining.py
@@ -48,3 +48,18 @@
     connection.receive(b"0\r\n\r\n")
     (message,) = listener.handler.messages
     assert message.body == b"x" * (segments * segment.count(b"x"))
+
+
+def test_a_trailer_changes_no_header_and_is_not_forwarded() -> None:
+    """Guards against a deadline or an id that a trailer replaces (RFC 9110, 6.5.1)."""
+    listener = make_listener()
+    connection = listener.connect()
+    headers = f"Jujubetiller-Deadline-Ms: 5000\r\nX-A: b\r\n{CHUNKED}"
+    connection.request(headers=headers, method="POST")
+    connection.receive(
+        b"4\r\ndone\r\n0\r\nJujubetiller-Deadline-Ms: 1\r\nX-A: c\r\nX-B: d\r\n\r\n"
+    )
+    (message,) = listener.handler.messages
+    assert message.control["jujubetiller-deadline-ms"] == "5000"
+    forwarded = [header for header in message.headers if header[0].startswith("x-")]
+    assert forwarded == [("x-a", "b")]
