Bound what a request may hold behind its head

Cause: only the bytes of a head were limited. The parser keeps the field that it is reading, and the connection kept all trailers. Change: the limit of a head holds for all bytes since the last request, head or part of a body was complete, so for chunk sizes and trailers too.

Tests: the 4 cases of test_what_goes_on_without_end_behind_a_head_is_refused fail before.

--- a/src/jujubetiller/edge/_pipelined_connection.py
+++ b/src/jujubetiller/edge/_pipelined_connection.py
@@ -40,7 +40,10 @@
 
         self.last_active_ms = 0.0
         self.is_closing = False
-        self.head_bytes = 0
+        self.framing_bytes = 0
+        """Bytes since the last request, head or part of a body was complete: of a
+        head, of chunk sizes or of trailers. The parser may keep all of them."""
+
         self.head_started_ms: float | None = None
         """When the first byte of a head arrived that is still incomplete."""
 
@@ -58,13 +61,13 @@
         if self.is_closing:
             return
         self.last_active_ms = self.factory.clock.now_ms()
-        self.head_bytes += len(data)
+        self.framing_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.refuse_and_close(_NOT_HTTP)
             return
-        if not self.head_is_complete and self.head_bytes > self.factory.max_head_bytes:
+        if self.framing_bytes > self.factory.max_head_bytes:
             self.refuse_and_close(_NOT_HTTP)
 
     def refuse_slow_head(self, oldest_ms: float) -> None:
@@ -105,6 +108,7 @@
         """Send ``100 Continue`` if the client expects it before sending the body."""
         self.head_is_complete = True
         self.head_started_ms = None
+        self.framing_bytes = 0
         for name, value in self.headers:
             if name == "expect" and value.lower() == "100-continue":
                 assert self.transport is not None
@@ -112,6 +116,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Buffer a part of the body, up to ``max_body_bytes``."""
+        self.framing_bytes = 0
         self.body_bytes += len(data)
         if self.body_bytes > self.factory.max_body_bytes:
             self.is_too_large = True
@@ -121,7 +126,7 @@
 
     def on_message_complete(self) -> None:
         """Start a complete request, or queue it if ``pipeline_depth`` are running."""
-        self.head_bytes = 0
+        self.framing_bytes = 0
         exchange = _exchange.Exchange(
             self.parser.get_method(), self.parser.should_keep_alive()
         )
--- a/tests/edge/test_pipelining.py
+++ b/tests/edge/test_pipelining.py
@@ -50,6 +50,31 @@
     assert message.body == b"x" * (segments * segment.count(b"x"))
 
 
+@pytest.mark.parametrize(
+    ("name", "start", "repeated"),
+    [
+        ("trailers", b"4\r\ndone\r\n0\r\n", b"a: b\r\n"),
+        ("one trailer", b"4\r\ndone\r\n0\r\na: ", b"b"),
+        ("the name of a trailer", b"4\r\ndone\r\n0\r\na", b"b"),
+        ("a chunk extension", b"4;", b"e"),
+    ],
+)
+def test_what_goes_on_without_end_behind_a_head_is_refused(
+    name: str, start: bytes, repeated: bytes
+) -> None:
+    """Guards against fields that are kept without a limit."""
+    listener = make_listener()
+    connection = listener.connect()
+    connection.request(headers=CHUNKED, method="POST")
+    connection.receive(start)
+    segment = repeated * (SEGMENT_BYTES // len(repeated))
+    for _ in range(MAX_HEAD_BYTES // SEGMENT_BYTES + 2):
+        connection.receive(segment)
+    assert connection.read_output().startswith("HTTP/1.1 400 "), name
+    assert connection.transport.disconnecting
+    assert listener.handler.messages == []
+
+
 def test_a_trailer_changes_no_header_and_is_not_forwarded() -> None:
     """Guards against a deadline or an id that a trailer replaces (RFC 9110, 6.5.1)."""
     listener = make_listener()
