Start waiting requests of a connection in one loop

Cause: answer, start_waiting and start call each other once for each refusal, up to the interpreter's limit of recursion. Change: only the outermost start_waiting starts requests.

Test: test_many_requests_that_are_refused_at_once_are_all_answered fails before with RecursionError (2,000 refusals).

--- a/src/jujubetiller/edge/_pipelined_connection.py
+++ b/src/jujubetiller/edge/_pipelined_connection.py
@@ -38,6 +38,10 @@
         )
         """Requests beyond ``pipeline_depth``, started as earlier ones are answered."""
 
+        self.is_starting = False
+        """Whether waiting requests are being started; one that is refused at once
+        leads back there."""
+
         self.last_active_ms = 0.0
         self.is_closing = False
         self.framing_bytes = 0
@@ -220,8 +224,14 @@
 
     def start_waiting(self) -> None:
         """Start waiting requests, and resume reading once none is left."""
-        while self.waiting and len(self.requests) < self.factory.pipeline_depth:
-            self.start(*self.waiting.popleft())
+        if self.is_starting:
+            return
+        self.is_starting = True
+        try:
+            while self.waiting and len(self.requests) < self.factory.pipeline_depth:
+                self.start(*self.waiting.popleft())
+        finally:
+            self.is_starting = False
         if not self.waiting:
             self.resume()
 
--- a/tests/edge/test_pipelining.py
+++ b/tests/edge/test_pipelining.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from jujubetiller import edge
+from jujubetiller import codes, edge
 from tests.edge import recording
 
 BODY_BYTES = 200_000
@@ -88,3 +88,21 @@
     assert message.control["jujubetiller-deadline-ms"] == "5000"
     forwarded = [header for header in message.headers if header[0].startswith("x-")]
     assert forwarded == [("x-a", "b")]
+
+
+def test_many_requests_that_are_refused_at_once_are_all_answered() -> None:
+    """Guards against a call depth that grows with the refusals in a row."""
+    listener = make_listener()
+    connection = listener.connect()
+    for _ in range(DEPTH):
+        connection.request()
+    for _ in range(2_000):
+        connection.request("*", method="OPTIONS")
+    connection.request("/last")
+    for reply in listener.handler.replies[:DEPTH]:
+        reply(ok())
+    listener.handler.replies[DEPTH](ok())
+    output = connection.read_output()
+    assert output.count("HTTP/1.1 200 ") == DEPTH + 1
+    assert output.count("HTTP/1.1 400 ") == 2_000
+    assert output.count(f"Jujubetiller-Code: {codes.ResultCode.BAD_REQUEST}") == 2_000
