Read a connection while few of its requests wait

Cause: reading paused with the ninth request of a connection. A connection that is not read shows no close. Change: reading goes on until the waiting requests occupy 64 KB, and the time in which it is paused does not count as the client's. WaitingRequests holds them.

Tests: test_a_client_that_leaves_is_noticed_while_its_requests_wait and test_the_time_in_which_reading_is_paused_is_not_the_clients fail before.

--- a/src/jujubetiller/edge/_pipelined_connection.py
+++ b/src/jujubetiller/edge/_pipelined_connection.py
@@ -15,6 +15,7 @@
     _exchange,
     _headers,
     _hop_by_hop,
+    _waiting_requests,
 )
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -33,11 +34,12 @@
     def __init__(self) -> None:
         self.parser = httptools.HttpRequestParser(self)
         self.requests: collections.deque[_exchange.Exchange] = collections.deque()
-        self.waiting: collections.deque[tuple[_exchange.Exchange, Any]] = (
-            collections.deque()
-        )
+        self.waiting = _waiting_requests.WaitingRequests()
         """Requests beyond ``pipeline_depth``, started as earlier ones are answered."""
 
+        self.paused_at_ms: float | None = None
+        """Since when the connection is not read; None while it is."""
+
         self.is_starting = False
         """Whether waiting requests are being started; one that is refused at once
         leads back there."""
@@ -75,8 +77,13 @@
             self.refuse_and_close(_NOT_HTTP)
 
     def refuse_slow_head(self, oldest_ms: float) -> None:
-        """Refuse a request whose head began before ``oldest_ms`` and is incomplete."""
-        if self.head_started_ms is not None and self.head_started_ms < oldest_ms:
+        """Refuse a request whose head began before ``oldest_ms`` and is incomplete.
+
+        The time in which the connection is not read doesn't count.
+        """
+        if self.head_started_ms is None or self.paused_at_ms is not None:
+            return
+        if self.head_started_ms < oldest_ms:
             self.refuse_and_close("the head of the request took too long")
 
     def begin_message(self) -> None:
@@ -129,7 +136,7 @@
             self.body.add(data)
 
     def on_message_complete(self) -> None:
-        """Start a complete request, or queue it if ``pipeline_depth`` are running."""
+        """Pass a complete request on, and expect the next one."""
         self.framing_bytes = 0
         exchange = _exchange.Exchange(
             self.parser.get_method(), self.parser.should_keep_alive()
@@ -138,13 +145,20 @@
         self.begin_message()
         if not exchange.keep_alive:
             self.is_closing = True
-        if len(self.requests) >= self.factory.pipeline_depth:
-            self.waiting.append((exchange, message))
-            self.pause()
-        else:
+        self.start_or_wait(exchange, message)
+
+    def start_or_wait(
+        self, exchange: _exchange.Exchange, message: _waiting_requests.Message
+    ) -> None:
+        """Start a request, or keep it while ``pipeline_depth`` others are running."""
+        if len(self.requests) < self.factory.pipeline_depth:
             self.start(exchange, message)
+            return
+        self.waiting.append(exchange, message)
+        if self.waiting.is_full():
+            self.pause()
 
-    def make_message(self) -> _edge_message.EdgeMessage | codes.Problem:
+    def make_message(self) -> _waiting_requests.Message:
         """Return the request, or why it is refused."""
         if self.is_too_large:
             self.factory.bodies_refused += 1
@@ -182,7 +196,7 @@
     def start(
         self,
         exchange: _exchange.Exchange,
-        message: _edge_message.EdgeMessage | codes.Problem,
+        message: _waiting_requests.Message,
     ) -> None:
         """Pass a request to the handler, or refuse it."""
         self.requests.append(exchange)
@@ -223,16 +237,16 @@
             self.transport.loseConnection()
 
     def start_waiting(self) -> None:
-        """Start waiting requests, and resume reading once none is left."""
+        """Start waiting requests, and resume reading once few are left."""
         if self.is_starting:
             return
         self.is_starting = True
         try:
             while self.waiting and len(self.requests) < self.factory.pipeline_depth:
-                self.start(*self.waiting.popleft())
+                self.start(*self.waiting.pop())
         finally:
             self.is_starting = False
-        if not self.waiting:
+        if not self.waiting.is_full():
             self.resume()
 
     def refuse_and_close(self, reason: str) -> None:
@@ -242,19 +256,23 @@
         self.is_closing = True
         problem = codes.Problem(codes.ResultCode.BAD_REQUEST, "request", reason)
         exchange = _exchange.Exchange(b"", keep_alive=False)
-        if len(self.requests) >= self.factory.pipeline_depth:
-            self.waiting.append((exchange, problem))
-        else:
-            self.start(exchange, problem)
+        self.start_or_wait(exchange, problem)
 
     def pause(self) -> None:
         """Pause reading from the transport."""
+        if self.paused_at_ms is None:
+            self.paused_at_ms = self.factory.clock.now_ms()
         pause = getattr(self.transport, "pauseProducing", None)
         if pause is not None:
             pause()
 
     def resume(self) -> None:
         """Resume reading from the transport, unless the connection is closing."""
+        paused_at_ms, self.paused_at_ms = self.paused_at_ms, None
+        if paused_at_ms is None:
+            return
+        if self.head_started_ms is not None:
+            self.head_started_ms += self.factory.clock.now_ms() - paused_at_ms
         resume = getattr(self.transport, "resumeProducing", None)
         if resume is not None and not self.is_closing:
             resume()
--- a/tests/edge/test_pipelining.py
+++ b/tests/edge/test_pipelining.py
@@ -106,3 +106,52 @@
     assert output.count("HTTP/1.1 200 ") == DEPTH + 1
     assert output.count("HTTP/1.1 400 ") == 2_000
     assert output.count(f"Jujubetiller-Code: {codes.ResultCode.BAD_REQUEST}") == 2_000
+
+
+def test_a_client_that_leaves_is_noticed_while_its_requests_wait() -> None:
+    """Guards against work for clients that have left: a paused reader sees no close."""
+    listener = make_listener()
+    connection = listener.connect()
+    for _ in range(50):
+        connection.request()
+    assert connection.transport.producerState == "producing"
+    connection.disconnect()
+    assert len(listener.handler.cancelled) == DEPTH
+
+
+def test_reading_pauses_while_many_bytes_wait() -> None:
+    listener = make_listener()
+    connection = listener.connect()
+    for _ in range(DEPTH):
+        connection.request()
+    length = "Content-Length: 100000\r\n"
+    connection.request("/large", length, "x" * 100_000, method="POST")
+    assert connection.transport.producerState == "paused"
+    listener.handler.replies[0](ok())
+    assert connection.transport.producerState == "producing"
+    assert listener.handler.messages[-1].path == "/large"
+
+
+def test_the_time_in_which_reading_is_paused_is_not_the_clients() -> None:
+    """Guards against a proper head that is refused because the node did not read it."""
+    listener = make_listener()
+    connection = listener.connect()
+    for _ in range(DEPTH):
+        connection.request()
+    length = "Content-Length: 100000\r\n"
+    connection.request("/large", length, "x" * 100_000, method="POST")
+    connection.receive(b"GET /last HTTP/1.1\r\nHost:")
+    listener.clock.advance(61_000)
+    listener.reactor.advance(1)
+    for reply in listener.handler.replies[:DEPTH]:
+        reply(ok())
+    listener.reactor.advance(1)
+    connection.receive(b" x\r\n\r\n")
+    assert "HTTP/1.1 400 " not in connection.read_output()
+    assert listener.handler.messages[-1].path == "/last"
+    connection.receive(b"GET /slow HTTP/1.1\r\nHost:")
+    listener.clock.advance(61_000)
+    listener.reactor.advance(1)
+    for reply in listener.handler.replies[DEPTH:]:
+        reply(ok())
+    assert "HTTP/1.1 400 " in connection.read_output()
