Replace a watch that ends too late after the last read

What counts is the time from the last successful read to the end of the watch, as for the primary reader's own watches. The changed test in tests/published/test_store_freshness.py fails before.

--- a/src/jujubetiller/platform/_store_reader.py
+++ b/src/jujubetiller/platform/_store_reader.py
@@ -220,7 +220,7 @@
         self.watched_epoch = None
         newest_epoch = max(self.state.revision.epoch, answer.epoch)
         if self.is_watch_replaced or newest_epoch > after.epoch:
-            # Peers have brought a newer history, or this answer shows one.
+            # Another watch is due, or this answer or peers show a newer history.
             return None
         if wait_ms and answer.status == http_reads.ReadProblem.SILENT.value:
             self.freshness.record_silence(wait_ms)
--- a/src/jujubetiller/published/_store_freshness.py
+++ b/src/jujubetiller/published/_store_freshness.py
@@ -94,9 +94,13 @@
         return self.settings.answer_timeout_ms
 
     def waits_too_long(self) -> bool:
-        """Return whether the watch under way waits too long for a primary reader."""
+        """Return whether the watch under way waits too long for a primary reader.
+
+        What counts is its end, from the last successful read on.
+        """
         left_ms = self.watch_ends_at_ms - self.clock.now_ms()
-        return self.is_primary and left_ms > self.settings.primary_wait_ms
+        age_at_end_ms = self.age_ms() + left_ms
+        return self.is_primary and age_at_end_ms > self.settings.primary_wait_ms
 
     def record_silence(self, wait_ms: int) -> None:
         """Record a watch that got no answer within its timeout."""
--- a/tests/published/test_store_freshness.py
+++ b/tests/published/test_store_freshness.py
@@ -88,11 +88,13 @@
 
 
 def test_a_reader_that_becomes_primary_does_not_keep_its_long_watch() -> None:
-    _, freshness = make_freshness(False)
+    manual_clock, freshness = make_freshness(False)
     freshness.start_watch(True)
     assert not freshness.waits_too_long()
+    manual_clock.advance(STORE.watch_wait_ms / 2.0)
     freshness.is_primary = True
     assert freshness.waits_too_long()
     freshness.record_success(False)
     freshness.start_watch(True)
+    manual_clock.advance(500.0)
     assert not freshness.waits_too_long()
