Read the ratio and the window of the retry budget from the settings

Change: both are read and checked; a node keeps to a fifth of the ratio, as before with the default. A reload with another window keeps what was counted.

Tests, on the code before: 10 new cases of tests/platform/test_decoder.py and the 3 of tests/mesh/test_retry_budget.py fail.

--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -267,7 +267,7 @@
             # Kept-alive connections lead to the old address.
             self.parts.target.close()
             self.parts.directory.set_own_address(node_settings.target.address)
-        self.parts.budget.settings = node_settings.repeats
+        self.parts.budget.apply_settings(node_settings.repeats)
 
     def drain(self) -> "defer.Deferred[int]":
         """Shut down after the requests in flight have ended, within the grace period.
--- a/src/jujubetiller/mesh/_retry_budget.py
+++ b/src/jujubetiller/mesh/_retry_budget.py
@@ -41,6 +41,15 @@
         self.by_service: dict[str, list[_Counts]] = {}
         self.refused = 0
 
+    def apply_settings(self, retry_settings: settings.RepeatSettings) -> None:
+        """Use other settings from now on; what was counted stays in its time."""
+        old_bucket_ms = self.bucket_ms
+        self.settings = retry_settings
+        self.bucket_ms = retry_settings.window_ms / BUCKETS_PER_WINDOW
+        for counts in self.by_service.values():
+            for count in counts:
+                count.number = int(count.number * old_bucket_ms / self.bucket_ms)
+
     def record_request(self, service: str) -> None:
         """Count the first attempt of a request."""
         self._current(service)[-1].requests += 1
--- a/src/jujubetiller/platform/_settings.py
+++ b/src/jujubetiller/platform/_settings.py
@@ -17,7 +17,19 @@
 
 REPEATED_LOG_LINES_PER_SECOND = 20
 
-MAX_BUDGET_SLACK = 1_000_000
+MAX_SLACK = 1_000_000.0
+"""Highest number of retries that the fleet may send beyond the ratio."""
+
+MAX_RETRY_RATIO = 5.0
+"""Highest ratio of the retries of the fleet to its requests."""
+
+RETRY_RATIO_SHARE = 0.2
+"""Part of the fleet's ratio that a node keeps to. A retry also causes the calls below
+it again, so each of five layers may use a fifth."""
+
+MIN_WINDOW_MS = 100.0
+MAX_WINDOW_MS = 600_000.0
+"""Bounds on the time in which retries are counted."""
 
 BUDGET_SLACK_SHARE = 0.75
 """Part of the fleet's slack that nodes divide; the rest covers nodes that count fewer
@@ -133,12 +145,36 @@
 
 def _translate_repeats(bounds: dict[str, Any]) -> settings.RepeatSettings:
     repeats = settings.RepeatSettings()
-    slack = bounds.get("budget_slack")
-    if slack is None:
-        return repeats
-    if not isinstance(slack, int | float) or not 0 <= slack <= MAX_BUDGET_SLACK:
+    slack = _read_number(
+        bounds, "budget_slack", repeats.fleet_slack / BUDGET_SLACK_SHARE, MAX_SLACK
+    )
+    ratio = _read_number(
+        bounds, "retry_budget_ratio", repeats.ratio / RETRY_RATIO_SHARE, MAX_RETRY_RATIO
+    )
+    window_ms = _fields.read_duration_ms(
+        bounds, "budget_window", repeats.window_ms, MAX_WINDOW_MS
+    )
+    if window_ms < MIN_WINDOW_MS:
+        raise schema.FieldError(
+            "bounds.budget_window", f"allowed are times from {MIN_WINDOW_MS:.0f}ms"
+        )
+    return attrs.evolve(
+        repeats,
+        fleet_slack=BUDGET_SLACK_SHARE * slack,
+        ratio=RETRY_RATIO_SHARE * ratio,
+        window_ms=int(window_ms),
+    )
+
+
+def _read_number(
+    bounds: dict[str, Any], name: str, default: float, highest: float
+) -> float:
+    """Return a number from 0 to ``highest`` of the table ``bounds``."""
+    number = bounds.get(name, default)
+    is_number = isinstance(number, int | float) and not isinstance(number, bool)
+    if not is_number or not 0 <= number <= highest:
         raise schema.FieldError(
-            "bounds.budget_slack",
-            f"allowed are numbers from 0 to {MAX_BUDGET_SLACK}, got {slack!r}",
+            f"bounds.{name}",
+            f"allowed are numbers from 0 to {highest:g}, got {number!r:.80}",
         )
-    return attrs.evolve(repeats, fleet_slack=BUDGET_SLACK_SHARE * slack)
+    return float(number)
--- a/src/jujubetiller/settings/_repeat_settings.py
+++ b/src/jujubetiller/settings/_repeat_settings.py
@@ -10,8 +10,7 @@
     """How many retries one node may send to each service."""
 
     ratio: float = _fields.real_number(0.04, 0.0, 1.0)
-    """Retries for each request of this node. A retry also causes the calls below it
-    again, so each of five layers may use a fifth of what the fleet may."""
+    """Retries for each request of this node."""
 
     slack: float = _fields.real_number(3.0, 0.0, 10_000.0)
     """Retries in a window that each node may send to a service beyond the ratio. It
--- a/tests/mesh/test_retry_budget.py
+++ b/tests/mesh/test_retry_budget.py
@@ -38,3 +38,17 @@
 def test_a_node_that_knows_no_other_has_the_slack_of_one() -> None:
     budget = mesh.RetryBudget(clock.ManualClock(), settings.RepeatSettings(), lambda: 0)
     assert [budget.try_acquire(SERVICE) for _ in range(5)] == [True] * 3 + [False] * 2
+
+
+@pytest.mark.parametrize("window_ms", [2_000, 10_000, 40_000])
+def test_a_changed_window_forgets_no_retry_within_it(window_ms: int) -> None:
+    """Guards against a reload of the settings that gives nodes a new budget."""
+    manual_clock = clock.ManualClock(100_000)
+    budget = mesh.RetryBudget(manual_clock, settings.RepeatSettings(), lambda: 1)
+    while budget.try_acquire(SERVICE):
+        pass
+    budget.apply_settings(settings.RepeatSettings(window_ms=window_ms))
+    manual_clock.advance(0.8 * window_ms)
+    assert not budget.may_retry(SERVICE)
+    manual_clock.advance(0.3 * window_ms)
+    assert budget.may_retry(SERVICE)
--- a/tests/platform/test_decoder.py
+++ b/tests/platform/test_decoder.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import attrs
 import pytest
 import result
 
@@ -209,6 +210,49 @@
     assert noticed_ms + loaded.exchange_ms <= limit_ms
 
 
+def load_with_bounds(lines: str) -> Any:
+    text = documents.SETTINGS.replace("[bounds]\n", f"[bounds]\n{lines}\n")
+    return platform.load_settings(text.encode())
+
+
+@pytest.mark.parametrize(
+    ("lines", "changes"),
+    [
+        ("", {}),
+        ("retry_budget_ratio = 0.5", {"ratio": 0.1}),
+        ("retry_budget_ratio = 0", {"ratio": 0.0}),
+        ('budget_window = "30s"', {"window_ms": 30_000}),
+        ("budget_slack = 100", {"fleet_slack": 75.0}),
+    ],
+)
+def test_the_retry_budget_follows_the_settings(
+    lines: str, changes: dict[str, float]
+) -> None:
+    """Guards against a budget that a deployment has lowered and no node keeps to."""
+    repeats = load_with_bounds(lines).unwrap().repeats
+    expected = {**attrs.asdict(settings.RepeatSettings()), **changes}
+    assert attrs.asdict(repeats) == pytest.approx(expected)
+
+
+@pytest.mark.parametrize(
+    ("line", "field"),
+    [
+        ("retry_budget_ratio = -0.1", "bounds.retry_budget_ratio"),
+        ("retry_budget_ratio = 6", "bounds.retry_budget_ratio"),
+        ("retry_budget_ratio = true", "bounds.retry_budget_ratio"),
+        ("retry_budget_ratio = nan", "bounds.retry_budget_ratio"),
+        ('budget_slack = "many"', "bounds.budget_slack"),
+        ('budget_window = "10ms"', "bounds.budget_window"),
+        ('budget_window = "700s"', "budget_window"),
+        ("budget_window = 5", "budget_window"),
+    ],
+)
+def test_a_wrong_retry_budget_is_named(line: str, field: str) -> None:
+    problem = load_with_bounds(line).unwrap_err()
+    assert problem.code is codes.ResultCode.BAD_SETTINGS
+    assert problem.field == field
+
+
 @pytest.mark.parametrize(
     ("old", "new", "field"),
     [
