Let callers of the own interface take their answers before a node stops

Found by reading; not seen by callers. Change: behind the first second, idle connections are closed, and the drain waits for the others until its time is over. EdgeFactory.close_unused serves both drains. The new test in tests/node/test_drain.py needs the new argument; without the wait the drain ends before the caller has its answer.

--- a/src/jujubetiller/edge/_edge_factory.py
+++ b/src/jujubetiller/edge/_edge_factory.py
@@ -66,5 +66,11 @@
             ):
                 channel.loseConnection()  # type: ignore[no-untyped-call]
 
+    def close_unused(self) -> None:
+        """Close the connections without pending requests, once their data is sent."""
+        for channel in tuple(self.channels):
+            if not channel.requests:
+                channel.loseConnection()  # type: ignore[no-untyped-call]
+
     def log(self, request: http.Request) -> None:
         """Write no access log: the node's own records replace it."""
--- a/src/jujubetiller/mesh/_drain.py
+++ b/src/jujubetiller/mesh/_drain.py
@@ -88,9 +88,7 @@
     def stop_listening(self) -> None:
         """Stop accepting client connections and close those without a request."""
         self.ports["egress"].stopListening()
-        for channel in tuple(self.edges["egress"].channels):
-            if not channel.requests:
-                channel.loseConnection()  # type: ignore[no-untyped-call]
+        self.edges["egress"].close_unused()
 
     def close(self, left_over: int) -> None:
         """Close the streams and report requests and calls that did not finish.
--- a/src/jujubetiller/node/_drain.py
+++ b/src/jujubetiller/node/_drain.py
@@ -3,7 +3,7 @@
 import logbook
 from twisted.internet import defer, interfaces
 
-from jujubetiller import streams
+from jujubetiller import edge, streams
 from jujubetiller.node import _control_loop, _node_parts, _platform_reading
 
 _LOG = logbook.Logger("jujubetiller.node")
@@ -22,11 +22,13 @@
         self,
         parts: _node_parts.NodeParts,
         ports: dict[str, interfaces.IListeningPort],
+        edges: dict[str, edge.EdgeFactory],
         control_loop: _control_loop.ControlLoop,
         platform_reading: _platform_reading.PlatformReading,
     ) -> None:
         self.parts = parts
         self.ports = ports
+        self.edges = edges
         self.control_loop = control_loop
         self.platform_reading = platform_reading
         self.finished: defer.Deferred[int] = defer.Deferred()
@@ -52,14 +54,24 @@
         guard = self.parts.guard
         return self.parts.state.calls_under_way + guard.in_flight + guard.queue_length
 
+    def has_unsent_answers(self) -> bool:
+        """Return whether a connection of a caller is still open.
+
+        It is closed behind its last answer, so it waits for the caller to read.
+        """
+        return any(factory.channels for factory in self.edges.values())
+
     def poll(self) -> None:
         """Close the node once no call is in flight or the drain time is over."""
         elapsed_ms = self.parts.clock.now_ms() - self.started_at_ms
-        if elapsed_ms >= GRACE_MS:
+        if elapsed_ms >= GRACE_MS and not self.parts.guard.draining:
             self.parts.guard.drain()
+            for factory in self.edges.values():
+                factory.close_unused()
         in_flight = self.count_in_flight()
         is_overdue = elapsed_ms >= self.parts.settings.control.drain_ms
-        if is_overdue or (in_flight == 0 and elapsed_ms >= GRACE_MS):
+        is_done = in_flight == 0 and elapsed_ms >= GRACE_MS
+        if is_overdue or (is_done and not self.has_unsent_answers()):
             self.close(in_flight)
         else:
             self.parts.reactor.callLater(POLL_MS / 1000.0, self.poll)
--- a/src/jujubetiller/node/_node.py
+++ b/src/jujubetiller/node/_node.py
@@ -194,7 +194,11 @@
             assert self.control_loop is not None
             assert self.platform_reading is not None
             self.draining = _drain.Drain(
-                self.parts, self.ports, self.control_loop, self.platform_reading
+                self.parts,
+                self.ports,
+                self.edges,
+                self.control_loop,
+                self.platform_reading,
             )
             self.draining.start()
         return self.draining.finished
--- a/tests/mesh/test_drain.py
+++ b/tests/mesh/test_drain.py
@@ -56,6 +56,11 @@
         self.left_over: list[int] = []
         self.drain.finished.addCallback(self.left_over.append)
 
+    def close_unused(self) -> None:
+        for channel in self.channels:
+            if not channel.requests:
+                channel.loseConnection()
+
     def has_unsent_answers(self) -> bool:
         return self.peers_read
 
--- a/tests/node/test_drain.py
+++ b/tests/node/test_drain.py
@@ -8,7 +8,9 @@
 import attrs
 from twisted.internet import defer
 
+from jujubetiller import edge
 from jujubetiller.node import _drain
+from tests.edge import recording
 from tests.node import local_node
 
 
@@ -40,12 +42,14 @@
         return lambda *arguments: None
 
 
-def start_drain(node: local_node.LocalNode) -> tuple[_drain.Drain, ClosingPool]:
+def start_drain(
+    node: local_node.LocalNode, edges: Any = None
+) -> tuple[_drain.Drain, ClosingPool]:
     pool = ClosingPool(reactor=node.reactor)
     no_op: Any = NoOpPart()
     node.parts.pool = pool  # type: ignore[assignment]
     node.parts.target = no_op
-    drain = _drain.Drain(node.parts, {"edge": no_op}, no_op, no_op)
+    drain = _drain.Drain(node.parts, {"edge": no_op}, edges or {}, no_op, no_op)
     drain.start()
     return drain, pool
 
@@ -79,3 +83,22 @@
         node.reactor.pump([0.02] * 100)
         assert drain.finished.result == left_over
         assert len(pool.aborted_at) == 1
+
+
+def test_a_drain_waits_for_callers_that_read_slowly() -> None:
+    """Guards against answers that are cut off while their callers read them."""
+    node = local_node.LocalNode()
+    listener = recording.Listener(factory_class=edge.EdgeFactory)
+    idle, reading = listener.connect(), listener.connect()
+    reading.request()
+    drain, pool = start_drain(node, {"edge": listener.factory})
+    node.reactor.pump([0.02] * 100)
+    assert idle.transport.disconnecting
+    assert not reading.transport.disconnecting
+    idle.disconnect()
+    pool.closed.callback(None)
+    node.reactor.pump([0.02] * 400)
+    assert not drain.finished.called
+    reading.disconnect()
+    node.reactor.pump([0.02] * 2)
+    assert drain.finished.result == 0
