Learn from the peer which calls of a lost stream it received

Cause: the calls of a lost stream ended as unknown, also those that the peer never received. Non-idempotent ones can't be sent again then. Change: HELLO names the stream. A caller that has lost one asks over a new stream which call arrived last (RECONCILE); the peer closes the old stream and answers (RECONCILED). Calls behind it end as UNDELIVERED, not run, and are sent elsewhere. Why it is true: calls arrive in the order of their ids, and a closed stream receives nothing more. OutgoingQuestion holds what SEAL and RECONCILE have in common.

--- a/src/jujubetiller/codes/_code_table.py
+++ b/src/jujubetiller/codes/_code_table.py
@@ -135,7 +135,7 @@
         _NOT_RUN,
         503,
         True,
-        "The stream closed before the call was written to it.",
+        "The stream closed before the peer received the call.",
     ),
     (
         _Code.REQUEST_CRASHES_TARGETS,
--- a/src/jujubetiller/frames/__init__.py
+++ b/src/jujubetiller/frames/__init__.py
@@ -16,6 +16,8 @@
 from jujubetiller.frames._pong import Pong
 from jujubetiller.frames._pull import Pull
 from jujubetiller.frames._push import Push
+from jujubetiller.frames._reconcile import Reconcile
+from jujubetiller.frames._reconciled import Reconciled
 from jujubetiller.frames._seal import Seal
 from jujubetiller.frames._sealed import Sealed
 from jujubetiller.frames._versions import HIGHEST_VERSION, LOWEST_VERSION
@@ -39,6 +41,8 @@
     "Pong",
     "Pull",
     "Push",
+    "Reconcile",
+    "Reconciled",
     "Seal",
     "Sealed",
 ]
--- a/src/jujubetiller/frames/_frame_table.py
+++ b/src/jujubetiller/frames/_frame_table.py
@@ -14,6 +14,8 @@
     _pong,
     _pull,
     _push,
+    _reconcile,
+    _reconciled,
     _seal,
     _sealed,
 )
@@ -35,5 +37,7 @@
         _digest.Digest,
         _pull.Pull,
         _push.Push,
+        _reconcile.Reconcile,
+        _reconciled.Reconciled,
     )
 }
--- a/src/jujubetiller/frames/_hello.py
+++ b/src/jujubetiller/frames/_hello.py
@@ -31,6 +31,7 @@
         ("call_window_bytes", _rules.COUNT),
         ("max_frame_bytes", _rules.COUNT),
         ("max_body_bytes", _rules.COUNT),
+        ("stream_id", _rules.NAME),
     )
 
     lowest_version: int
@@ -51,12 +52,17 @@
     max_frame_bytes: int
     max_body_bytes: int
 
+    stream_id: str = ""
+    """Names the stream among all that the sender has opened or accepted. Empty for a
+    sender whose program does not know RECONCILE."""
+
     @classmethod
     def check_fields(cls, values: list[Any]) -> codes.Problem | None:
         """Return the problem of the versions, or of the first field that has one.
 
         The versions are compared first, because another version may have other
-        fields. Fields appended by a later version are removed from ``values``.
+        fields. Fields appended by a later version are removed from ``values``, and a
+        missing ``stream_id`` is added.
         """
         if all(map(_rules.COUNT.allows, values[:2])) and len(values) >= 2:
             lowest, highest = values[:2]
@@ -68,4 +74,6 @@
                     f"{_versions.HIGHEST_VERSION}, got {lowest} to {highest}",
                 )
         del values[cls.TABLE.count :]
+        if len(values) == cls.TABLE.count - 1:
+            values.append("")
         return super().check_fields(values)
--- a/src/jujubetiller/frames/_rules.py
+++ b/src/jujubetiller/frames/_rules.py
@@ -10,6 +10,7 @@
 )
 
 CALL_ID = _whole_number.WholeNumber(1, 2**63 - 1)
+LAST_CALL_ID = _whole_number.WholeNumber(0, 2**63 - 1)
 COUNT = _whole_number.WholeNumber(0, 2**53)
 BODY_LENGTH = _whole_number.WholeNumber(0, 2**30)
 CHECKSUM = _whole_number.WholeNumber(0, 2**64 - 1)
--- a/src/jujubetiller/streams/_caller_stream.py
+++ b/src/jujubetiller/streams/_caller_stream.py
@@ -9,6 +9,8 @@
 from jujubetiller.streams import (
     _body_assembler,
     _outgoing_call,
+    _outgoing_question,
+    _outgoing_reconcile,
     _outgoing_seal,
     _peer_stream,
     _stream_context,
@@ -27,17 +29,22 @@
         super().__init__(context, on_ready, on_closed)
         self.last_call_id = 0
         self.outstanding: dict[int, _outgoing_call.OutgoingCall] = {}
-        self.seals: dict[int, _outgoing_seal.OutgoingSeal] = {}
+        self.questions: dict[int, _outgoing_question.OutgoingQuestion] = {}
+        self.lost_calls: list[_outgoing_call.OutgoingCall] = []
+        """Calls that were under way when the stream was lost, and that the peer may not
+        have received."""
+
         self.close_when_done = False
         """Whether the stream closes after its last answer."""
 
         self.frame_handlers[frames.Answer] = self._receive_answer
         self.frame_handlers[frames.Data] = self._receive_data
         self.frame_handlers[frames.Sealed] = self._receive_sealed
+        self.frame_handlers[frames.Reconciled] = self._receive_reconciled
 
     def has_work(self) -> bool:
-        """Return whether calls or seal requests are outstanding."""
-        return bool(self.outstanding or self.seals)
+        """Return whether calls or questions are outstanding."""
+        return bool(self.outstanding or self.questions)
 
     def send_call(self, call: _outgoing_call.OutgoingCall) -> None:
         """Write CALL; a body that fits into one frame is included in it."""
@@ -90,24 +97,24 @@
                 self.writer.send(frames.Cancel(call_id))
             self.close_if_done()
 
-    def send_seal(self, seal: _outgoing_seal.OutgoingSeal) -> None:
-        """Write SEAL; the seal request is refused if it cannot be written."""
+    def send_question(self, question: _outgoing_question.OutgoingQuestion) -> None:
+        """Write the frame of a question, which is refused if it cannot be written."""
         self.last_call_id = call_id = self.last_call_id + 1
         self.used_at_ms = self.context.clock.now_ms()
         if (
             self.closing
-            or len(self.seals) >= self.context.settings.max_calls
-            or self.writer.send(frames.Seal(call_id, seal.key)) is not None
+            or len(self.questions) >= self.context.settings.max_calls
+            or self.writer.send(question.make_frame(call_id)) is not None
         ):
-            seal.refuse(codes.ResultCode.UNDELIVERED)
+            question.refuse(codes.ResultCode.UNDELIVERED)
             return
-        seal.call_id = call_id
-        seal.stream = self
-        self.seals[call_id] = seal
+        question.call_id = call_id
+        question.stream = self
+        self.questions[call_id] = question
 
-    def drop_seal(self, call_id: int) -> None:
-        """Stop waiting for SEALED."""
-        self.seals.pop(call_id, None)
+    def drop_question(self, call_id: int) -> None:
+        """Stop waiting for the answer to a question."""
+        self.questions.pop(call_id, None)
         self.close_if_done()
 
     def _receive_answer(self, frame: frames.Answer) -> None:
@@ -167,11 +174,28 @@
             self._finish(call_id, answer)
 
     def _receive_sealed(self, frame: frames.Sealed) -> None:
-        seal = self.seals.pop(frame.call_id, None)
-        if seal is None:
-            self.count("sealed_for_unknown_seal")
+        self._finish_question(
+            frame.call_id, _outgoing_seal.OutgoingSeal, frame.confirmed
+        )
+
+    def _receive_reconciled(self, frame: frames.Reconciled) -> None:
+        last_call_id = frame.last_call_id if frame.is_known else None
+        self._finish_question(
+            frame.call_id, _outgoing_reconcile.OutgoingReconcile, last_call_id
+        )
+
+    def _finish_question(
+        self,
+        call_id: int,
+        kind: type[_outgoing_question.OutgoingQuestion],
+        result: bool | int | None,
+    ) -> None:
+        question = self.questions.get(call_id)
+        if not isinstance(question, kind):
+            self.count(f"answer_for_unknown_{kind.NAME}")
             return
-        seal.finish(frame.confirmed)
+        del self.questions[call_id]
+        question.finish(result)
         self.close_if_done()
 
     def _fail_call(self, call_id: int, code: codes.ResultCode) -> None:
@@ -204,7 +228,7 @@
         self.close_if_done()
 
     def close_if_done(self) -> None:
-        """Close a retired stream without outstanding calls or seal requests."""
+        """Close a retired stream without outstanding calls or questions."""
         if self.close_when_done and not self.has_work():
             self.close_unused("retired")
 
@@ -228,16 +252,36 @@
         super().tick(now_ms)
 
     def end_work(self) -> None:
-        """End every call: STREAM_LOST if its CALL was written, else UNDELIVERED."""
+        """End the calls whose CALL was not written, and keep the others.
+
+        ``end_lost_calls`` ends these, once the peer has told which it received.
+        """
         outstanding, self.outstanding = self.outstanding, {}
         for call in outstanding.values():
-            code = (
-                codes.ResultCode.STREAM_LOST
-                if call.frame_number <= self.writer.written_count
-                else codes.ResultCode.UNDELIVERED
-            )
-            self.count(code.name.lower())
-            call.finish(calls.make_refusal(code))
-        seals, self.seals = self.seals, {}
-        for seal in seals.values():
-            seal.refuse(codes.ResultCode.STREAM_LOST)
+            if call.frame_number <= self.writer.written_count:
+                self.lost_calls.append(call)
+            else:
+                self._end_lost(call, codes.ResultCode.UNDELIVERED)
+        questions, self.questions = self.questions, {}
+        for question in questions.values():
+            question.refuse(codes.ResultCode.STREAM_LOST)
+
+    def end_lost_calls(self, last_call_id: int | None) -> None:
+        """End the calls under way when the stream was lost, as not run if possible.
+
+        Those behind ``last_call_id`` were not received. None means that this is not
+        known.
+        """
+        lost_calls, self.lost_calls = self.lost_calls, []
+        for call in lost_calls:
+            was_received = last_call_id is None or call.call_id <= last_call_id
+            code = codes.ResultCode.UNDELIVERED
+            if was_received:
+                code = codes.ResultCode.STREAM_LOST
+            self._end_lost(call, code)
+
+    def _end_lost(
+        self, call: _outgoing_call.OutgoingCall, code: codes.ResultCode
+    ) -> None:
+        self.count(code.name.lower())
+        call.finish(calls.make_refusal(code))
--- a/src/jujubetiller/streams/_hello.py
+++ b/src/jujubetiller/streams/_hello.py
@@ -7,7 +7,9 @@
 
 
 def make_hello(
-    identity: _peer_identity.PeerIdentity, stream_settings: settings.StreamSettings
+    identity: _peer_identity.PeerIdentity,
+    stream_settings: settings.StreamSettings,
+    stream_id: str,
 ) -> frames.Hello:
     """Return the HELLO frame of the node with ``identity``."""
     return frames.Hello(
@@ -16,6 +18,7 @@
         call_window_bytes=stream_settings.call_window_bytes,
         max_frame_bytes=stream_settings.max_frame_bytes,
         max_body_bytes=stream_settings.max_body_bytes,
+        stream_id=stream_id,
         **attrs.asdict(identity),
     )
 
--- a/src/jujubetiller/streams/_peer_slot.py
+++ b/src/jujubetiller/streams/_peer_slot.py
@@ -8,6 +8,7 @@
     _checks,
     _connect_attempt,
     _outgoing,
+    _outgoing_reconcile,
     _stream_context,
 )
 
@@ -117,6 +118,16 @@
         self.retired.discard(stream)
         if self.current is stream:
             self.current = None
+        if not stream.lost_calls:
+            return
+        if not stream.peer_stream_id:
+            stream.end_lost_calls(None)
+            return
+        self.send(
+            _outgoing_reconcile.OutgoingReconcile(
+                self.context, stream.stream_id, stream.end_lost_calls
+            )
+        )
 
     def tick(self, now_ms: float) -> None:
         """Check timeouts and heartbeats, and replace a suspect stream."""
--- a/src/jujubetiller/streams/_peer_stream.py
+++ b/src/jujubetiller/streams/_peer_stream.py
@@ -47,6 +47,13 @@
         self.peer: _peer_identity.PeerIdentity | None = None
         """Identity from the HELLO of the peer; None before it is received."""
 
+        self.stream_id = str(next(context.stream_numbers))
+        """Names the stream in HELLO."""
+
+        self.peer_stream_id = ""
+        """What the peer has named the stream; empty before HELLO, and for a peer whose
+        program does not know RECONCILE."""
+
         self.draining = False
         """Whether the peer accepts no new calls."""
 
@@ -175,7 +182,9 @@
 
     def _send_hello(self) -> None:
         identity = self.sent_identity = self.context.identity()
-        problem = self.writer.send(_hello.make_hello(identity, self.context.settings))
+        problem = self.writer.send(
+            _hello.make_hello(identity, self.context.settings, self.stream_id)
+        )
         if problem is not None:
             self.close(str(problem))
 
@@ -204,6 +213,7 @@
         is_first = self.peer is None
         self.peer = _hello.read_identity(hello)
         if is_first:
+            self.peer_stream_id = hello.stream_id
             self.draining = hello.draining
             self.writer.set_peer_limits(
                 min(self.context.settings.max_frame_bytes, hello.max_frame_bytes),
--- a/src/jujubetiller/streams/_server_stream.py
+++ b/src/jujubetiller/streams/_server_stream.py
@@ -11,6 +11,7 @@
     _body_assembler,
     _incoming_call,
     _peer_stream,
+    _received_calls,
     _stream_context,
 )
 
@@ -25,8 +26,10 @@
         context: _stream_context.StreamContext,
         on_ready: Callable[[Any], None],
         on_closed: Callable[[Any, str], None],
+        received_calls: _received_calls.ReceivedCalls,
     ) -> None:
         super().__init__(context, on_ready, on_closed)
+        self.received_calls = received_calls
         self.last_call_id = 0
         self.incoming: dict[int, _incoming_call.IncomingCall] = {}
         self.close_requested = False
@@ -35,6 +38,13 @@
         self.frame_handlers[frames.Data] = self._receive_data
         self.frame_handlers[frames.Cancel] = self._receive_cancel
         self.frame_handlers[frames.Seal] = self._receive_seal
+        self.frame_handlers[frames.Reconcile] = self._receive_reconcile
+
+    def find_key(self) -> _received_calls.StreamKey | None:
+        """Return the key of this stream, or None if its caller has not named it."""
+        if self.peer is None or not self.peer_stream_id:
+            return None
+        return _received_calls.StreamKey.of(self.peer, self.peer_stream_id)
 
     def has_work(self) -> bool:
         """Return whether a call is outstanding or an answer is not fully written."""
@@ -189,6 +199,14 @@
 
         self.notify_handler(self.context.handler.handle_seal, frame.key, reply)
 
+    def _receive_reconcile(self, frame: frames.Reconcile) -> None:
+        """Answer which calls were received on a stream that the peer has lost."""
+        assert self.peer is not None
+        key = _received_calls.StreamKey.of(self.peer, frame.stream_id)
+        last_call_id = self.received_calls.end_stream(key)
+        is_known = last_call_id is not None
+        self.writer.send(frames.Reconciled(frame.call_id, is_known, last_call_id or 0))
+
     def tick(self, now_ms: float) -> None:
         """Close a stream that the peer failed to close, and check the heartbeat."""
         if self.close_requested:
--- a/src/jujubetiller/streams/_stream_context.py
+++ b/src/jujubetiller/streams/_stream_context.py
@@ -1,6 +1,7 @@
 """The state that all streams of a pool share."""
 
-from collections.abc import Callable
+import itertools
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -32,3 +33,6 @@
 
     call_soon: Callable[..., object]
     """Calls a function with its arguments in a later reactor turn."""
+
+    stream_numbers: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
+    """Numbers of the streams, which are not used twice in a process."""
--- a/src/jujubetiller/streams/_stream_pool.py
+++ b/src/jujubetiller/streams/_stream_pool.py
@@ -167,7 +167,7 @@
 
     def _make_slot(self, address: settings.Address) -> _peer_slot.PeerSlot:
         def connect(attempt: _connect_attempt.ConnectAttempt) -> bool:
-            if not self._ensure_room():
+            if self.closed is not None or not self._ensure_room():
                 return False
             attempt.connector = self.reactor.connectTCP(
                 address.host,
--- a/tests/streams/test_call_guarantees.py
+++ b/tests/streams/test_call_guarantees.py
@@ -24,6 +24,8 @@
     st.tuples(st.just("reply_twice"), st.integers(0, 9), st.just(5)),
     st.tuples(st.just("cancel"), st.integers(0, 9), st.just(0)),
     st.tuples(st.just("cut"), st.integers(0, 3), st.just(0)),
+    st.tuples(st.just("drop"), st.integers(0, 3), st.just(0)),
+    st.tuples(st.just("lose"), st.integers(0, 3), st.sampled_from(SIZES)),
     st.tuples(st.just("hold"), st.integers(0, 7), st.just(0)),
     st.tuples(st.just("release"), st.just(0), st.just(0)),
     st.tuples(st.just("deliver"), st.integers(0, 7), st.just(0)),
@@ -74,6 +76,19 @@
         if number < len(self.reactor.links):
             self.reactor.links[number][0].abortConnection()
 
+    def drop(self, number: Any, _: int) -> None:
+        """End a connection at the caller; the server gets what was written, later."""
+        if number < len(self.reactor.links):
+            self.reactor.links[number][0].drop()
+
+    def lose(self, number: Any, size: int) -> None:
+        """Lose a connection at the caller with a call in transit on it."""
+        if number < len(self.reactor.links):
+            near = self.reactor.links[number][0]
+            near.is_held = True
+            self.call(LONGEST_MS, size)
+            near.drop()
+
     def hold(self, number: Any, _: int) -> None:
         """Stop delivery in one direction of a connection."""
         if number < len(self.ends()):
@@ -131,6 +146,9 @@
 
 @hypothesis.settings(derandomize=True, max_examples=400, deadline=None)
 @hypothesis.given(st.lists(STEPS, max_size=30))
+@hypothesis.example(
+    [("call", 3_000, 0), ("time", 200, 0), ("lose", 0, 0), ("time", 200, 0)]
+)
 def test_outcomes_are_correct_after_any_faults(
     steps: list[tuple[str, Any, int]],
 ) -> None:
