Add the shared types of teams, quotas and reports of targets

Cause: no module held a team, a key, a quota or a report of a target's room; the adapter dropped those fields of the configuration and of the settings. Change: teams with digests of their keys, the age of what is known of the store on a clock that counts suspensions, settings, result codes, and fields of calls and answers. Nodes of stream version 2 and 3 refuse each other, because the fields of frames changed; the examples of the frame tests name version 3 for that reason.

--- a/src/jujubetiller/calls/_call_answer.py
+++ b/src/jujubetiller/calls/_call_answer.py
@@ -50,5 +50,20 @@
     """While there is a limit: the factor by which callers should change what they
     offer to the target."""
 
+    room: int | None = None
+    """Calls that the target takes beyond those that it has; negative if calls wait.
+    None if the answer doesn't come from the node beside the target."""
+
+    wait_ms: float = 0.0
+    """The expected wait of a call that arrives at the target's node now."""
+
+    costs: tuple[tuple[str, float], ...] = ()
+    """Services with the slot-milliseconds that one request of the call's kind takes
+    there. Empty if they have not changed since an earlier answer."""
+
+    loads: tuple[tuple[str, float], ...] = ()
+    """Services with the factor by which callers should change what they offer to them.
+    Services that are not overloaded are left out."""
+
     target_leaving: bool = False
     """Whether the target says that it is about to stop."""
--- a/src/jujubetiller/calls/_call_request.py
+++ b/src/jujubetiller/calls/_call_request.py
@@ -53,6 +53,13 @@
     expected_instance: str = ""
     """The only instance that may run the call; empty if the node may choose."""
 
+    team: str = ""
+    """Name of the team that sent the request; empty for none."""
+
+    start_within_ms: float | None = None
+    """Time within which the call must start, as what its entry node knows of the API
+    key is too old afterwards. None if it may start at any time."""
+
     rate_limit_per_s: float | None = None
     """The limit of the expected instance that the sender last received, which a node
     that has just started beside it does not know; None if it received none."""
--- a/src/jujubetiller/codes/_bad_input_rows.py
+++ b/src/jujubetiller/codes/_bad_input_rows.py
@@ -79,4 +79,11 @@
         "A target's response states its own limit or its leaving wrongly; the last "
         "good state holds.",
     ),
+    (
+        _Code.UNKNOWN_API_KEY,
+        _NOT_RUN,
+        401,
+        False,
+        "The request carries no API key that a team of the configuration holds.",
+    ),
 )
--- a/src/jujubetiller/codes/_code_table.py
+++ b/src/jujubetiller/codes/_code_table.py
@@ -59,6 +59,20 @@
         True,
         "The target takes no more requests a second from all nodes together.",
     ),
+    (
+        _Code.QUOTA_EXCEEDED,
+        _NOT_RUN,
+        429,
+        False,
+        "The team has used up its quota through all nodes.",
+    ),
+    (
+        _Code.NODE_MEMORY_FULL,
+        _NOT_RUN,
+        503,
+        True,
+        "The node holds as many bytes for requests as its settings allow.",
+    ),
     (
         _Code.NO_INSTANCE,
         _NOT_RUN,
@@ -152,6 +166,13 @@
         "A copy of the request ran at a target when it crashed, and this one could "
         "not be run apart from others in time.",
     ),
+    (
+        _Code.KEYS_NOT_CURRENT,
+        _NOT_RUN,
+        503,
+        True,
+        "What the node knows of the API keys is too old to accept one.",
+    ),
     (
         _Code.STREAM_LOST,
         _UNKNOWN,
--- a/src/jujubetiller/codes/_result_code.py
+++ b/src/jujubetiller/codes/_result_code.py
@@ -20,6 +20,8 @@
     TOO_MANY_CALLS = 105
     TOO_MANY_STREAMS = 106
     RATE_LIMITED = 107
+    QUOTA_EXCEEDED = 108
+    NODE_MEMORY_FULL = 109
 
     NO_INSTANCE = 200
     DEADLINE_SPENT = 201
@@ -35,6 +37,7 @@
     UNDELIVERED = 212
     REQUEST_CRASHES_TARGETS = 213
     SUSPECT_NOT_TRIED = 214
+    KEYS_NOT_CURRENT = 215
 
     STREAM_LOST = 300
     DEADLINE_PASSED = 301
@@ -69,3 +72,4 @@
     NO_ROUTE = 415
     BAD_ITEM = 416
     BAD_NOTICE = 417
+    UNKNOWN_API_KEY = 418
--- a/src/jujubetiller/frames/_call.py
+++ b/src/jujubetiller/frames/_call.py
@@ -23,6 +23,8 @@
     ("attempt", _whole_number.WholeNumber(1, 2**31)),
     ("key", _rules.KEY),
     ("expected_instance", _rules.NAME),
+    ("team", _rules.NAME),
+    ("start_within_ms", _rules.OPTIONAL_MILLISECONDS),
     ("rate_limit_per_s", _rules.RATE_PER_S),
 )
 _REQUEST_NAMES = tuple(name for name, _ in _REQUEST_FIELDS)
@@ -74,7 +76,7 @@
     def from_fields(cls, values: list[Any]) -> Self:
         """Return the frame built from checked values."""
         headers, body_length, checksum, body = values[_REQUEST_COUNT + 1 :]
-        expected_instance, rate_limit_per_s = values[
+        expected_instance, team, start_within_ms, rate_limit_per_s = values[
             _POSITIONAL_COUNT + 1 : _REQUEST_COUNT + 1
         ]
         request = _make_request(
@@ -82,6 +84,8 @@
             headers=tuple(zip(headers[::2], headers[1::2], strict=True)),
             body=body,
             expected_instance=expected_instance,
+            team=team,
+            start_within_ms=start_within_ms,
             rate_limit_per_s=rate_limit_per_s,
         )
         return cls(values[0], request, body_length, checksum, len(body) == body_length)
--- a/src/jujubetiller/frames/_versions.py
+++ b/src/jujubetiller/frames/_versions.py
@@ -1,4 +1,4 @@
 """The versions of the stream protocol that this program supports."""
 
-LOWEST_VERSION = 2
-HIGHEST_VERSION = 2
+LOWEST_VERSION = 3
+HIGHEST_VERSION = 3
--- a/src/jujubetiller/mesh/_header_names.py
+++ b/src/jujubetiller/mesh/_header_names.py
@@ -27,5 +27,11 @@
     caller_service: str
     """The service on the VM of the entry node."""
 
+    team: str
+    """The team that sent the request; only nodes set it."""
+
+    authorization: str
+    """The header in which a client sends its API key."""
+
     notices: notices.NoticeNames
     """Headers in which a target describes its own state."""
--- a/src/jujubetiller/mesh/_request.py
+++ b/src/jujubetiller/mesh/_request.py
@@ -12,7 +12,12 @@
 ) -> calls.CallRequest:
     """Return the call for a request, with the headers for the target."""
     names = parts.headers
-    own = (names.deadline_ms, names.expected_instance, names.caller_service)
+    own = (
+        names.deadline_ms,
+        names.expected_instance,
+        names.caller_service,
+        names.team,
+    )
     passed = [pair for pair in message.control.items() if pair[0] not in own]
     request_id = message.control.get(names.request_id, "")
     return calls.CallRequest(
--- a/src/jujubetiller/platform/_configuration.py
+++ b/src/jujubetiller/platform/_configuration.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from jujubetiller import routes, schema
-from jujubetiller.platform import _fields
+from jujubetiller.platform import _fields, _teams
 
 KEY = "op/config"
 
@@ -31,6 +31,7 @@
         ),
         services=frozenset(_fields.read_text(each, "name") for each in clusters),
         bounds=_translate_limits(_fields.read(document, "limits", dict, {})),
+        team_table=_teams.translate_teams(_fields.read(document, "tenants", list, [])),
     )
     for route in configuration.routes:
         _check_destinations(route, configuration.services)
@@ -82,6 +83,7 @@
         priority_class=_fields.read_integer(
             rule, "priority", highest=HIGHEST_PRIORITY_CLASS, default=0
         ),
+        is_public=_fields.read(rule, "public", bool, False),
     )
 
 
--- a/src/jujubetiller/platform/_settings.py
+++ b/src/jujubetiller/platform/_settings.py
@@ -91,6 +91,9 @@
             congested_wait_ms=250,
         ),
         repeats=_translate_repeats(bounds),
+        teams=_translate_teams(bounds),
+        quotas=_translate_quotas(bounds),
+        memory=_translate_memory(_fields.read(document, "limits", dict, {})),
         logs=settings.LogSettings(repeats_per_second=REPEATED_LOG_LINES_PER_SECOND),
         grace_ms=int(_fields.read_duration_ms(bounds, "grace", 6_000.0)),
         exchange_ms=_find_exchange_ms(bounds),
@@ -166,6 +169,37 @@
     )
 
 
+def _translate_teams(bounds: dict[str, Any]) -> settings.TeamSettings:
+    default = settings.TeamSettings()
+    return settings.TeamSettings(
+        has_strict_revocation=_fields.read(bounds, "strict_revoke", bool, False),
+        revocation_ms=int(
+            _fields.read_duration_ms(bounds, "revoke", default.revocation_ms)
+        ),
+        configuration_ms=int(
+            _fields.read_duration_ms(bounds, "config_apply", default.configuration_ms)
+        ),
+    )
+
+
+def _translate_quotas(bounds: dict[str, Any]) -> settings.QuotaSettings:
+    default = settings.QuotaSettings()
+    return settings.QuotaSettings(
+        window_ms=int(
+            _fields.read_duration_ms(bounds, "quota_window", default.window_ms)
+        ),
+        overshoot=_read_number(bounds, "quota_overshoot", default.overshoot, 10.0),
+        slack=_read_number(bounds, "quota_slack", default.slack, MAX_SLACK),
+    )
+
+
+def _translate_memory(limits: dict[str, Any]) -> settings.MemorySettings:
+    default = settings.MemorySettings()
+    return settings.MemorySettings(
+        limit_mb=_fields.read_integer(limits, "memory_mb", default=default.limit_mb)
+    )
+
+
 def _read_number(
     bounds: dict[str, Any], name: str, default: float, highest: float
 ) -> float:
--- a/src/jujubetiller/published/__init__.py
+++ b/src/jujubetiller/published/__init__.py
@@ -10,6 +10,7 @@
 from jujubetiller.published._publisher_version import PublisherVersion
 from jujubetiller.published._retained_item import RetainedItem
 from jujubetiller.published._revision import MAX_NUMBER, Revision
+from jujubetiller.published._state_age import StateAge
 from jujubetiller.published._store_freshness import StoreFreshness
 from jujubetiller.published._store_position import StorePosition
 
@@ -25,6 +26,7 @@
     "PublisherVersion",
     "RetainedItem",
     "Revision",
+    "StateAge",
     "StoreFreshness",
     "StorePosition",
 ]
--- a/src/jujubetiller/routes/_configuration.py
+++ b/src/jujubetiller/routes/_configuration.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from jujubetiller import teams
 from jujubetiller.routes import _request_bounds, _route
 
 
@@ -13,3 +14,6 @@
     routes: tuple[_route.Route, ...]
     services: frozenset[str]
     bounds: _request_bounds.RequestBounds = _request_bounds.RequestBounds()
+
+    team_table: teams.TeamTable = attrs.field(factory=teams.TeamTable)
+    """If it holds teams, requests on routes that are not public need an API key."""
--- a/src/jujubetiller/routes/_route.py
+++ b/src/jujubetiller/routes/_route.py
@@ -29,3 +29,6 @@
 
     priority_class: int
     """0 is the most important class."""
+
+    is_public: bool = False
+    """Whether requests need no API key although the configuration has teams."""
--- /dev/null
+++ b/src/jujubetiller/settings/_feature_settings.py
@@ -0,0 +1,20 @@
+"""Settings that choose between ways to decide."""
+
+import attrs
+
+from jujubetiller.settings import _fields
+
+
+@attrs.frozen
+class FeatureSettings:
+    """Which admission, placement and limit a node uses."""
+
+    admission: str = _fields.choice("delay", "delay", "cost")
+    """Admit requests where they enter by the queueing delays that answers report, or by
+    what they cost where the call graph is narrowest."""
+
+    placing: str = _fields.choice("latency", "latency", "room")
+    """Spread calls by relative latency, or by the room that targets' nodes report."""
+
+    target_limit: str = _fields.choice("fixed", "fixed", "learned")
+    """Limit calls at the target to its declared slots, or to what it takes well."""
--- a/src/jujubetiller/settings/_mesh_settings.py
+++ b/src/jujubetiller/settings/_mesh_settings.py
@@ -5,14 +5,18 @@
 from jujubetiller.settings import (
     _address,
     _crash_settings,
+    _feature_settings,
     _fields,
     _limit_settings,
     _log_settings,
+    _memory_settings,
+    _quota_settings,
     _repeat_settings,
     _routing_settings,
     _store_settings,
     _stream_settings,
     _target_settings,
+    _team_settings,
 )
 
 
@@ -49,6 +53,10 @@
     limits: _limit_settings.LimitSettings = _limit_settings.LimitSettings()
     crashes: _crash_settings.CrashSettings = _crash_settings.CrashSettings()
     routing: _routing_settings.RoutingSettings = _routing_settings.RoutingSettings()
+    teams: _team_settings.TeamSettings = _team_settings.TeamSettings()
+    quotas: _quota_settings.QuotaSettings = _quota_settings.QuotaSettings()
+    features: _feature_settings.FeatureSettings = _feature_settings.FeatureSettings()
+    memory: _memory_settings.MemorySettings = _memory_settings.MemorySettings()
     logs: _log_settings.LogSettings = _log_settings.LogSettings()
 
     grace_ms: int = _fields.whole_number(6_000, 100, 600_000)
--- a/tests/frames/test_frames.py
+++ b/tests/frames/test_frames.py
@@ -15,14 +15,14 @@
 HOP = records.HopRecord("ledger-1", "ledger", "queue", 100, 1.5, 3, 9, 4, 2, 80.0, 7)
 REQUEST = calls.CallRequest(
     "ledger", "POST", "/a?b=1", "deposit", 0, 12, False, 812.5, 3, "tree", 2, 1, "key",
-    (("content-type", "text/plain"), ("x", "ü")), b"body",
+    (("content-type", "text/plain"), ("x", "ü")), b"body", "i-1", "team", 250.5, 3.0,
 )  # fmt: skip
 ANSWER = calls.CallAnswer(
     codes.Outcome.NOT_RUN, codes.ResultCode.QUEUE_FULL, 503, (("a", "b"),), b"body",
     2, 131, "ledger", (HOP, HOP), "key",
 )  # fmt: skip
 HELLO = frames.Hello(
-    2, 2, "ledger-1", "ledger", "puchong", "127.0.0.1", 1, 2, "boot", 3, False, b"d",
+    3, 3, "ledger-1", "ledger", "puchong", "127.0.0.1", 1, 2, "boot", 3, False, b"d",
     262_144, 65_536, 8_388_608, "17",
 )  # fmt: skip
 EXAMPLES: list[frames.Frame] = [
@@ -30,6 +30,18 @@
     frames.Call(7, REQUEST, 4, 2**64 - 1),
     frames.Answer(7, ANSWER, 4, 5),
     frames.Answer(7, attrs.evolve(ANSWER, pressure=None, hops=()), 4, 5),
+    frames.Answer(
+        7,
+        attrs.evolve(
+            ANSWER,
+            room=-3,
+            wait_ms=12.5,
+            costs=(("ledger", 88.0), ("booth", 15)),
+            loads=(("ledger", 0.8),),
+        ),
+        4,
+        5,
+    ),
     frames.Data(7, b"part"),
     frames.Cancel(7),
     frames.Credit(7, 100),
@@ -147,7 +159,7 @@
         (wrap([5]), "BAD_FRAME", "cancel"),
         (wrap([5, 1, 1]), "BAD_FRAME", "cancel"),
         (wrap([5, True]), "BAD_FRAME", "cancel.call_id"),
-        (wrap([1, 3, 9, "fields of another version"]), "BAD_VERSION", "hello"),
+        (wrap([1, 4, 9, "fields of another version"]), "BAD_VERSION", "hello"),
     ],
 )
 def test_the_decoder_returns_valid_frames_and_stops_at_an_invalid_one(
@@ -164,7 +176,7 @@
 
 
 def test_fields_that_a_later_version_appended_to_hello_are_ignored() -> None:
-    data = wrap([1, 2, 5, *HELLO.to_fields()[2:], "new"])
+    data = wrap([1, 3, 5, *HELLO.to_fields()[2:], "new"])
     decoded, problem = frames.FrameDecoder(65_536).feed(data)
     assert problem is None
     assert decoded == [attrs.evolve(HELLO, highest_version=5)]
--- a/tests/streams/test_stream_faults.py
+++ b/tests/streams/test_stream_faults.py
@@ -161,7 +161,7 @@
 @pytest.mark.parametrize(
     ("greeting", "reason"),
     [
-        (b"\x00\x00\x00\x04\x93\x01\x03\x09", "bad_version"),
+        (b"\x00\x00\x00\x04\x93\x01\x04\x09", "bad_version"),
         (b"\x00\x00\x00\x03\x92\x07\x01", "stream_connect_timeout"),
         (b"HTTP/1.1 400 Bad Request\r\n", "bad_frame"),
         (b"", "stream_connect_timeout"),
