Bound the age of what nodes know of the store

Cause: no node knew as of when its view of the store held, and a watch of up to 4.5 s or a pause after changes left it unproven for seconds, so a key revoked in the store could not be refused in a bounded time. Change: StoreProofs records what the own reads prove, StateAnswer carries the age of the answering node's knowledge, and the asking node counts it from when it sent its question. With strict_revoke or quota_window the primary reader of a zone proves its knowledge every 770 ms at the longest and nodes ask it when its next proof is due. Answers gained a field; the example of the message tests has it too, and wrong ages are rejected.

--- a/src/jujubetiller/mesh/_build_parts.py
+++ b/src/jujubetiller/mesh/_build_parts.py
@@ -38,6 +38,7 @@
     decoder: published.ItemDecoder,
     is_settled: Callable[[published.Revision], bool],
     boot_id: str,
+    boot_clock: clock.Clock,
 ) -> _mesh_parts.MeshParts:
     """Return the components of a node; ``pool`` and ``prober`` are not set yet."""
     router = routing.LatencyWeightedRouter(
@@ -95,4 +96,5 @@
         delays=congestion.PeakDelay(time_source),
         callers=congestion.CallerShares(),
         throttles=congestion.Throttles(time_source, random_source),
+        state_age=published.StateAge(boot_clock),
     )
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -72,6 +72,7 @@
         headers: _header_names.HeaderNames,
         decoder: published.ItemDecoder,
         make_source: SourceFactory,
+        boot_clock: clock.Clock | None = None,
     ) -> None:
         self.reactor = reactor
         self.settings = node_settings
@@ -96,14 +97,18 @@
             decoder,
             self.store_stability.is_settled,
             self.boot_id,
+            boot_clock or clock.BootClock(),
         )
+        self.source.set_state_age(self.parts.state_age)
         self.parts.prober = _peer_prober.PeerProber(self.parts)
         self.parts.metrics.export(
             _mesh_counters.make_groups(self.parts, self.state, self.source)
         )
         self.exchange = _state_exchange.StateExchange(
             self.parts,
-            _state_merge.StateMerge(self.state, self.source, self.store_stability),
+            _state_merge.StateMerge(
+                self.state, self.source, self.store_stability, self.parts.state_age
+            ),
             self.own_peer_address,
         )
         self.reading = _store_reading.StoreReading(
--- a/src/jujubetiller/mesh/_mesh_parts.py
+++ b/src/jujubetiller/mesh/_mesh_parts.py
@@ -13,6 +13,7 @@
     limits,
     metrics,
     notices,
+    published,
     routes,
     routing,
     settings,
@@ -62,6 +63,7 @@
     delays: congestion.PeakDelay
     callers: congestion.CallerShares
     throttles: congestion.Throttles
+    state_age: published.StateAge
     pool: streams.StreamPool = attrs.field(init=False)
     prober: "_peer_prober.PeerProber" = attrs.field(init=False)
 
--- a/src/jujubetiller/mesh/_state_exchange.py
+++ b/src/jujubetiller/mesh/_state_exchange.py
@@ -102,9 +102,11 @@
             state.is_exact(),
         )
 
+        sent_ms = self.parts.state_age.now_ms()
+
         def answered(answer: calls.CallAnswer) -> None:
             callbacks = self.pending.pop((address, asks_reader), ())
-            applied = self._apply_answer(answer)
+            applied = self._apply_answer(answer, sent_ms)
             for callback in callbacks:
                 callback(applied)
 
@@ -133,7 +135,7 @@
         self.parts.pool.send_call(address, request, deadline, answered)
 
     def _apply_answer(
-        self, answer: calls.CallAnswer
+        self, answer: calls.CallAnswer, sent_ms: float
     ) -> _state_message.StateAnswer | None:
         if answer.code is not codes.ResultCode.ANSWERED:
             return None
@@ -141,7 +143,7 @@
         if isinstance(decoded, result.Err):
             _LOG.warning("state of peer rejected: {}", decoded.err_value)
             return None
-        self.merge.apply(decoded.ok_value)
+        self.merge.apply_answer(decoded.ok_value, sent_ms)
         return decoded.ok_value
 
     def _add_sender(self, address: settings.Address) -> None:
--- a/src/jujubetiller/mesh/_state_merge.py
+++ b/src/jujubetiller/mesh/_state_merge.py
@@ -1,5 +1,9 @@
 """The published state that a node passes on, and what it takes from peers."""
 
+import math
+
+import attrs
+
 from jujubetiller import published
 from jujubetiller.mesh import _state_message, _store_stability
 
@@ -12,19 +16,23 @@
         state: published.PublishedState,
         source: published.ItemSource,
         store_stability: _store_stability.StoreStability,
+        state_age: published.StateAge,
     ) -> None:
         self.state = state
         self.source = source
         self.store_stability = store_stability
+        self.state_age = state_age
 
     def make_answer(
         self, state_request: _state_message.StateRequest
     ) -> _state_message.StateAnswer:
         """Return what the sender of a request lacks."""
-        return self.make_message(
+        message = self.make_message(
             self.state.changes_since(state_request.revision, state_request.is_exact),
             self._find_retained_for(state_request),
         )
+        age_ms = self.state_age.age_ms()
+        return attrs.evolve(message, age_ms=age_ms if age_ms < math.inf else None)
 
     def make_message(
         self,
@@ -40,6 +48,18 @@
             retained,
         )
 
+    def apply_answer(self, answer: _state_message.StateAnswer, sent_ms: float) -> None:
+        """Apply the answer to a request of this node, and record the age it proves.
+
+        ``sent_ms`` is when the request was sent, on the clock of ``state_age``. After
+        changes that left a gap, or from another history, the answer proves nothing.
+        """
+        self.apply(answer)
+        known, answered = self.state.revision, answer.changes.revision
+        is_covered = known.epoch == answered.epoch and known >= answered
+        if is_covered and answer.age_ms is not None:
+            self.state_age.record_answer(sent_ms, answer.age_ms)
+
     def apply(self, answer: _state_message.StateAnswer) -> None:
         """Apply the answer of a peer; changes that leave a gap are ignored."""
         changes = answer.changes
--- a/src/jujubetiller/mesh/_state_message.py
+++ b/src/jujubetiller/mesh/_state_message.py
@@ -1,6 +1,7 @@
 """The messages by which nodes exchange their published state."""
 
 import functools
+import math
 import zlib
 from typing import Any
 
@@ -71,6 +72,10 @@
     """What the answering node knows better than the store, if that differs from what
     the requesting node does."""
 
+    age_ms: float | None = None
+    """How old the answering node's knowledge of the store is; None if it has none, and
+    in messages that answer no request."""
+
     def encode(self) -> bytes:
         """Return the body of the answer."""
         changes = self.changes
@@ -85,6 +90,7 @@
             self.is_reader,
             items,
             retained,
+            self.age_ms,
         ]
         return bytes(msgpack.packb(fields))
 
@@ -109,9 +115,17 @@
 def decode_answer(body: bytes) -> result.Result[StateAnswer, codes.Problem]:
     """Return the answer in ``body``."""
     try:
-        revision, is_listing, base, settled, released, is_reader, rows, retained = (
-            msgpack.unpackb(body)
-        )
+        (
+            revision,
+            is_listing,
+            base,
+            settled,
+            released,
+            is_reader,
+            rows,
+            retained,
+            age_ms,
+        ) = msgpack.unpackb(body)
         items = tuple(_decode_item(row) for row in check(rows, list))
         changes = published.Changes(
             decode_revision(revision),
@@ -126,6 +140,7 @@
                 _check_number(released),
                 check(is_reader, bool),
                 tuple(_decode_retained(row) for row in check(retained, list)),
+                None if age_ms is None else _check_age(age_ms),
             )
         )
     except (ValueError, TypeError) as error:
@@ -210,6 +225,14 @@
     return number
 
 
+def _check_age(value: Any) -> float:
+    """Return an age; one that is too low would let revoked keys pass."""
+    age_ms: float = check(value, float)
+    if not 0.0 <= age_ms < math.inf:
+        raise ValueError(f"allowed are ages from 0 on, got {age_ms!r}")
+    return age_ms
+
+
 def describe(error: Exception) -> codes.Problem:
     """Return the problem of a message that could not be decoded."""
     return codes.Problem(codes.ResultCode.BAD_FRAME, "state", str(error))
--- a/src/jujubetiller/mesh/_store_reading.py
+++ b/src/jujubetiller/mesh/_store_reading.py
@@ -1,6 +1,7 @@
 """Reading of the store by some of the nodes, for all of them."""
 
 from collections.abc import Callable, Iterable
+from typing import Any
 
 import logbook
 import result
@@ -53,7 +54,12 @@
             parts.random,
             node_settings.zone,
             node_settings.listen.peer.host,
+            asks_first=node_settings.store.proof_interval_ms is not None,
         )
+        self.pacing = readers.QuestionPacing(
+            parts.random, node_settings.store.proof_interval_ms
+        )
+        self.next_round: Any = None
         self.pusher = _state_pusher.StatePusher(parts, exchange, self.choice)
         self.held = _held_requests.HeldRequests(parts.reactor, exchange.answer)
         self.knows_nodes = False
@@ -195,9 +201,12 @@
             self.pusher.note_read()
 
     def _schedule_round(self) -> None:
-        jitter = 0.8 + 0.4 * self.parts.random.random()
-        pause_ms = self.parts.settings.exchange_ms * jitter
-        self.parts.reactor.callLater(pause_ms / 1000.0, self._run_round)
+        longest_ms = float(self.parts.settings.exchange_ms)
+        age_ms = self.parts.state_age.age_ms()
+        pause_ms = self.pacing.draw_pause_ms(longest_ms, age_ms)
+        self.next_round = self.parts.reactor.callLater(
+            pause_ms / 1000.0, self._run_round
+        )
 
     def _run_round(self) -> None:
         if self.is_stopped:
@@ -227,10 +236,20 @@
     ) -> None:
         if answer is not None and answer.is_reader:
             self.choice.record_reader(host)
+            self._advance_round()
         else:
             self._pass_over(host, has_answered=answer is not None)
         self._update()
 
+    def _advance_round(self) -> None:
+        """Start the next round once the reader should have its next proof."""
+        pause_ms = self.pacing.draw_answered_pause_ms(self.parts.state_age.age_ms())
+        if pause_ms is None or self.is_stopped or not self.next_round.active():
+            return
+        left_s = self.next_round.getTime() - self.parts.reactor.seconds()
+        if pause_ms / 1000.0 < left_s:
+            self.next_round.reset(pause_ms / 1000.0)
+
     def _pass_over(self, host: str, has_answered: bool) -> None:
         """Ask the next node in place of one that does not read."""
         if host not in self.choice.probed_at_ms:
--- a/src/jujubetiller/platform/_settings.py
+++ b/src/jujubetiller/platform/_settings.py
@@ -45,6 +45,15 @@
 
 MIN_EXCHANGE_MS = 200.0
 
+PROOF_INTERVAL_MS = 770
+"""Longest time between two proofs of a zone's primary reader, which costs 1.3 reads a
+second. With the time between two questions of a node, its knowledge stays younger than
+2 s."""
+
+PROOF_LONGEST_PAUSE_MS = 400
+"""Longest pause between failed reads if knowledge must stay young: an outage of the
+store for 3 s is to refuse no request with a key, which leaves 0.75 s after it."""
+
 MIN_PRIMARY_WAIT_MS = 500
 """A primary reader that waited less would cost too many reads."""
 
@@ -126,13 +135,26 @@
     value_bytes = _fields.read_integer(
         document, "value_bytes", 1, default=store.max_value_bytes
     )
+    proof_interval_ms = _find_proof_interval_ms(bounds)
+    longest_pause_ms = store.longest_pause_ms
+    if proof_interval_ms is not None:
+        longest_pause_ms = PROOF_LONGEST_PAUSE_MS
     return attrs.evolve(
         store,
+        longest_pause_ms=longest_pause_ms,
         max_value_bytes=value_bytes,
         primary_wait_ms=_find_primary_wait_ms(bounds, store.watch_answer_ms),
+        proof_interval_ms=proof_interval_ms,
     )
 
 
+def _find_proof_interval_ms(bounds: dict[str, Any]) -> int | None:
+    """Return the interval of proofs if keys or quotas depend on their age."""
+    is_strict = _fields.read(bounds, "strict_revoke", bool, False)
+    has_quotas = bounds.get("quota_window") is not None
+    return PROOF_INTERVAL_MS if is_strict or has_quotas else None
+
+
 def _find_primary_wait_ms(bounds: dict[str, Any], watch_answer_ms: int) -> int:
     """Return the longest wait with which a silent store connection is noticed in time.
 
--- a/src/jujubetiller/platform/_store_answer.py
+++ b/src/jujubetiller/platform/_store_answer.py
@@ -24,6 +24,10 @@
     last_key: str
     """The key of the last row, after which the next page begins."""
 
+    def has_any(self) -> bool:
+        """Return whether the answer has rows, also if none of them could be read."""
+        return bool(self.items or self.problems)
+
 
 @attrs.frozen
 class StoreAnswer:
--- a/src/jujubetiller/platform/_store_reader.py
+++ b/src/jujubetiller/platform/_store_reader.py
@@ -101,6 +101,11 @@
         if self.pending_read is not None:
             self.pending_read.cancel()
 
+    def set_state_age(self, state_age: published.StateAge) -> None:
+        """Record in ``state_age`` what reads prove."""
+        super().set_state_age(state_age)
+        self.freshness.proofs.state_age = state_age
+
     def set_primary(self, is_primary: bool) -> None:
         """Set whether the zone relies on this reader to notice silent connections.
 
@@ -166,6 +171,8 @@
         if problem is None:
             has_pause = self.had_changes or self.position.repeats_listings()
             pause_ms = self._draw_changes_pause_ms() if has_pause else 0.0
+            if not self.position.repeats_listings():
+                pause_ms = self.freshness.limit_pause_ms(pause_ms)
         else:
             self.freshness.record_failure(str(problem))
             pause_ms = self.backoff.next_ms()
@@ -187,6 +194,7 @@
             return f"bad answer: {error}"
 
     async def _list(self) -> str | None:
+        started_ms = self.freshness.proofs.now_ms()
         items: list[published.PublishedItem] = []
         revision: published.Revision | None = None
         query = {"prefix": ""}
@@ -209,9 +217,11 @@
         if not self.position.accept_listing(revision):
             return f"listing failed: {revision} can't be watched"
         self._apply(published.Changes(revision, tuple(items), True))
+        self.freshness.proofs.record_read(started_ms)
         return None
 
     async def _watch(self, after: published.Revision) -> str | None:
+        started_ms = self.freshness.proofs.now_ms()
         wait_ms = self.freshness.start_watch(self.position.is_current())
         query = {"prefix": "", "after": str(after.number), "wait_ms": str(wait_ms)}
         self.watched_epoch = after.epoch
@@ -236,8 +246,13 @@
         self.had_changes = bool(events)
         self.position.record_watch()
         self.backoff.reset()
-        revision = max(after, answer.read_revision())
-        self._apply(published.Changes(revision, events, False))
+        as_of = answer.read_revision()
+        self._apply(published.Changes(max(after, as_of), events, False))
+        if as_of >= after:
+            # Otherwise the answer is from a server that lags behind.
+            self.freshness.proofs.record_read(
+                started_ms, 0.0 if rows.has_any() else wait_ms
+            )
         return None
 
     def _record_problems(self, rows: _store_answer.ItemRows) -> None:
--- a/src/jujubetiller/published/__init__.py
+++ b/src/jujubetiller/published/__init__.py
@@ -13,6 +13,7 @@
 from jujubetiller.published._state_age import StateAge
 from jujubetiller.published._store_freshness import StoreFreshness
 from jujubetiller.published._store_position import StorePosition
+from jujubetiller.published._store_proofs import StoreProofs
 
 __all__ = [
     "MAX_NUMBER",
@@ -29,4 +30,5 @@
     "StateAge",
     "StoreFreshness",
     "StorePosition",
+    "StoreProofs",
 ]
--- a/src/jujubetiller/published/_item_source.py
+++ b/src/jujubetiller/published/_item_source.py
@@ -3,7 +3,7 @@
 import abc
 from collections.abc import Callable, Mapping
 
-from jujubetiller.published import _published_item, _revision
+from jujubetiller.published import _published_item, _revision, _state_age
 
 
 def _do_nothing() -> None:
@@ -18,6 +18,8 @@
 
     is_primary: bool = False
 
+    state_age: _state_age.StateAge | None = None
+
     @abc.abstractmethod
     def start(self) -> None:
         """Start reading; no effect if that is done already."""
@@ -33,6 +35,10 @@
         """
         self.is_primary = is_primary
 
+    def set_state_age(self, state_age: _state_age.StateAge) -> None:
+        """Set where to record as of when reads have proven the state of the store."""
+        self.state_age = state_age
+
     def peek(
         self,
         on_items: Callable[[tuple[_published_item.PublishedItem, ...]], None],
--- a/src/jujubetiller/published/_store_freshness.py
+++ b/src/jujubetiller/published/_store_freshness.py
@@ -5,12 +5,16 @@
 import logbook
 
 from jujubetiller import clock, settings
+from jujubetiller.published import _state_age, _store_proofs
 
 _LOG = logbook.Logger("jujubetiller.published")
 
 WAIT_JITTER = 0.2
 """Keeps the watches of the nodes from ending at the same time."""
 
+PROOF_JITTER = 0.06
+"""The same for the time between two proofs, each of which costs a read."""
+
 MIN_WAIT_MS = 200.0
 """A shorter wait is left out, as it would cost a read for little."""
 
@@ -38,6 +42,9 @@
         self.clock = time_source
         self.random = random_source
         self.settings = store_settings
+        self.proofs = _store_proofs.StoreProofs(
+            _state_age.StateAge(time_source), store_settings.proof_interval_ms
+        )
         self.is_primary = False
         self.is_down = True
         self.is_silent = False
@@ -74,19 +81,28 @@
         It does not wait after an outage, after a watch without an answer, nor in a
         history not read before, so that the node soon knows whether it is up to date.
         A primary reader counts the time since its last read as a part of the wait: the
-        connection may have gone silent in it.
+        connection may have gone silent in it. Nor does it wait beyond the time at which
+        a new proof of what the node knows is due.
         """
         if self.is_down or self.is_silent or not is_history_known:
             return 0
-        jitter = 1.0 - WAIT_JITTER * self.random.random()
-        wait_ms = self._longest_wait_ms() * jitter
+        drawn = self.random.random()
+        wait_ms = self._longest_wait_ms() * (1.0 - WAIT_JITTER * drawn)
         if self.is_primary:
             wait_ms -= self.age_ms()
+        if self._is_proving():
+            wait_ms = self.proofs.left_ms(1.0 - PROOF_JITTER * drawn)
         if wait_ms < MIN_WAIT_MS:
             return 0
         self.watch_ends_at_ms = self.clock.now_ms() + wait_ms
         return int(wait_ms)
 
+    def limit_pause_ms(self, pause_ms: float) -> float:
+        """Return the pause after a read, which ends when a new proof is due."""
+        if self._is_proving():
+            return min(pause_ms, self.proofs.left_ms())
+        return pause_ms
+
     def timeout_ms(self, wait_ms: int) -> float:
         """Return when the answer to a watch counts as lost, from its start."""
         if wait_ms:
@@ -100,7 +116,7 @@
         """
         left_ms = self.watch_ends_at_ms - self.clock.now_ms()
         age_at_end_ms = self.age_ms() + left_ms
-        return self.is_primary and age_at_end_ms > self.settings.primary_wait_ms
+        return self.is_primary and age_at_end_ms > self._longest_wait_ms()
 
     def record_silence(self, wait_ms: int) -> None:
         """Record a watch that got no answer within its timeout."""
@@ -134,6 +150,11 @@
             _LOG.warning("store lost", extra={"reason": reason})
 
     def _longest_wait_ms(self) -> int:
-        if self.is_primary:
-            return self.settings.primary_wait_ms
-        return self.settings.watch_wait_ms
+        if not self.is_primary:
+            return self.settings.watch_wait_ms
+        longest_ms = self.settings.primary_wait_ms
+        return min(longest_ms, self.proofs.interval_ms or longest_ms)
+
+    def _is_proving(self) -> bool:
+        """Return whether the other nodes of the zone rely on proofs of this one."""
+        return self.is_primary and self.proofs.interval_ms is not None
--- /dev/null
+++ b/src/jujubetiller/published/_store_proofs.py
@@ -0,0 +1,55 @@
+"""What the reads of a node prove about the age of its knowledge of the store."""
+
+import math
+
+from jujubetiller.published import _state_age
+
+CLOCK_TOLERANCE = 0.98
+"""Part of a wait that counts as proven: the clock of the store may run faster."""
+
+
+class StoreProofs:
+    """Records until when the reads of this node prove the state of the store.
+
+    Only a read whose answer was applied is to be recorded. It proves the state as of
+    its start; a watch that found nothing proves it up to the end of its wait. With an
+    interval, the primary reader of a zone is to have a younger proof at any time.
+    """
+
+    def __init__(
+        self, state_age: _state_age.StateAge, interval_ms: int | None = None
+    ) -> None:
+        self.state_age = state_age
+        self.interval_ms = interval_ms
+        """The longest time between two proofs; None if they are not asked for."""
+
+        self.own_as_of_ms = -math.inf
+
+    def now_ms(self) -> float:
+        """Return the time from which a read that starts now is to be counted."""
+        return self.state_age.now_ms()
+
+    def record_read(self, started_ms: float, empty_wait_ms: float = 0.0) -> None:
+        """Record a read that started at ``started_ms`` and was applied.
+
+        ``empty_wait_ms`` is the time for which the store was asked to wait, if it found
+        nothing. An answer that came earlier shows that it has not waited as long.
+        """
+        waited_ms = CLOCK_TOLERANCE * empty_wait_ms
+        is_whole_wait = self.now_ms() - started_ms >= waited_ms
+        as_of_ms = started_ms + waited_ms if is_whole_wait else started_ms
+        self.own_as_of_ms = max(self.own_as_of_ms, as_of_ms)
+        self.state_age.record_read(as_of_ms)
+
+    def own_age_ms(self) -> float:
+        """Return the age of the own reads' latest proof, infinite if there is none."""
+        return self.now_ms() - self.own_as_of_ms
+
+    def left_ms(self, share: float = 1.0) -> float:
+        """Return the time until a new proof is due, 0 if it is overdue.
+
+        ``share`` shortens the interval. The result is infinite without an interval.
+        """
+        if self.interval_ms is None:
+            return math.inf
+        return max(0.0, share * self.interval_ms - self.own_age_ms())
--- a/src/jujubetiller/readers/_reader_choice.py
+++ b/src/jujubetiller/readers/_reader_choice.py
@@ -18,6 +18,10 @@
 PROBE_INTERVAL_MS = 2_000.0
 """Time between two requests to a node that could not be used as a reader."""
 
+UNABLE_PROBE_INTERVAL_MS = 200.0
+"""The same for the first reader if it answers and only that one is to be asked: it goes
+on trying, and the nodes are to know as soon as it reads the store again."""
+
 CUT_OFF_SPREAD_MS = 300.0
 """Width of the random delay after which a node that reaches no other one reads."""
 
@@ -42,11 +46,16 @@
         random_source: random.Random,
         zone: str,
         own: str,
+        asks_first: bool = False,
     ) -> None:
         self.clock = time_source
         self.random = random_source
         self.zone = zone
         self.own = own
+        self.asks_first = asks_first
+        """Whether to ask the first reader in each round, as only that one has a recent
+        proof of what it knows."""
+
         self.nodes: list[str] = []
         """The nodes of the zone that may read, by rendezvous."""
 
@@ -145,7 +154,7 @@
         ]
         if not left:
             return None
-        name = left[self.round % len(left)]
+        name = left[0 if self.asks_first else self.round % len(left)]
         self.asked.add(name)
         return name
 
@@ -185,6 +194,10 @@
             at_ms = self.probed_at_ms.get(name)
             if name == self.own or at_ms is None:
                 continue
-            if now_ms - at_ms >= PROBE_INTERVAL_MS:
+            is_first = name == self.nodes[0] and name in self.unable
+            interval_ms = PROBE_INTERVAL_MS
+            if self.asks_first and is_first:
+                interval_ms = UNABLE_PROBE_INTERVAL_MS
+            if now_ms - at_ms >= interval_ms:
                 return [name]
         return []
--- a/src/jujubetiller/routing/_answer_classes.py
+++ b/src/jujubetiller/routing/_answer_classes.py
@@ -33,6 +33,7 @@
         _Code.RATE_LIMITED,
         _Code.REQUEST_CRASHES_TARGETS,
         _Code.SUSPECT_NOT_TRIED,
+        _Code.KEYS_NOT_CURRENT,
     }
 )
 
--- a/src/jujubetiller/settings/_fields.py
+++ b/src/jujubetiller/settings/_fields.py
@@ -28,6 +28,23 @@
     )
 
 
+def optional_whole_number(lowest: int, highest: int) -> Any:
+    """Return a field for None or a whole number from ``lowest`` to ``highest``."""
+
+    def check(instance: object, attribute: Any, value: int | None) -> None:
+        if value is not None and not lowest <= value <= highest:
+            raise schema.FieldError(
+                attribute.name,
+                f"allowed are whole numbers from {lowest} to {highest}, got {value}",
+            )
+
+    return attrs.field(
+        default=None,
+        validator=check,
+        metadata={ALLOWED: f"none, or {lowest} to {highest}"},
+    )
+
+
 def real_number(default: float, lowest: float, highest: float) -> Any:
     """Return a field for a real number from ``lowest`` to ``highest``."""
 
--- a/src/jujubetiller/settings/_store_settings.py
+++ b/src/jujubetiller/settings/_store_settings.py
@@ -20,6 +20,11 @@
     next watch. It bounds how long all readers can miss changes if their connections
     no longer answer."""
 
+    proof_interval_ms: int | None = _fields.optional_whole_number(100, 30_000)
+    """The longest time between two proofs of the primary reader of a zone that the node
+    knows the state of the store. None if nothing depends on the age of that knowledge.
+    """
+
     watch_answer_ms: int = _fields.whole_number(500, 50, 60_000)
     """Time beyond the wait of a watch after which its connection counts as silent, and
     the store is read over a new one."""
--- a/standins/fleet/mesh_fleet.py
+++ b/standins/fleet/mesh_fleet.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from jujubetiller import edge, mesh, platform, published
+from jujubetiller import edge, mesh, platform, published, settings
 from jujubetiller.mesh import _egress_site
 from standins import mesh_site
 from standins.fleet import _given_source, _process, _process_clock, network
@@ -47,11 +47,15 @@
     ``book`` are non-idempotent and of the most important one. Both go to ``booth``.
     """
 
-    def __init__(self, services: dict[str, str], work_ms: float = 20.0) -> None:
+    def __init__(
+        self, services: dict[str, str], work_ms: float = 20.0, bounds: str = ""
+    ) -> None:
         """Start the nodes of the instances in ``services``, which maps them to theirs.
 
-        The zone of an instance is the number at the end of its name.
+        The zone of an instance is the number at the end of its name. ``bounds`` holds
+        further lines of that table of the settings.
         """
+        self.bounds = bounds
         self.network = network.Network()
         self.places = {
             name: Place(service, name.rpartition("-")[2], f"127.0.9.{index + 1}")
@@ -122,16 +126,22 @@
             process,
             time_source,
             random.Random(self.starts),
-            platform.load_settings(make_settings(name, place)).unwrap(),
+            self.load_settings(name),
             platform.HEADERS,
             platform.PlatformDecoder(),
             functools.partial(self.make_source, name, process),
+            _process_clock.BootClock(process),
         )
         node.start()
         self.nodes[name] = node
         self.feed_source(name)
         return node
 
+    def load_settings(self, name: str) -> settings.MeshSettings:
+        """Return the settings of the node ``name``."""
+        text = make_settings(name, self.places[name], self.bounds)
+        return platform.load_settings(text).unwrap()
+
     def make_source(
         self, name: str, process: _process.Process, state: published.PublishedState
     ) -> published.ItemSource:
@@ -221,9 +231,10 @@
         return counts
 
 
-def make_settings(name: str, place: Place) -> bytes:
+def make_settings(name: str, place: Place, bounds: str = "") -> bytes:
     """Return the settings of a node in the platform's format."""
     text = documents.SETTINGS.replace("127.0.0.1", place.host)
+    text = text.replace("[bounds]", f"[bounds]\n{bounds}")
     text = text.replace('"sidecar-a-1"', f'"{name}"')
     text = text.replace('"ledger"', f'"{place.service}"')
     return text.replace('zone = "a"', f'zone = "{place.zone}"').encode()
--- a/standins/fleet/store_fleet.py
+++ b/standins/fleet/store_fleet.py
@@ -2,6 +2,8 @@
 
 import random
 
+import attrs
+
 from jujubetiller import edge, mesh, platform, published, settings
 from standins import mesh_site, store
 from standins.fleet import _process, _process_clock, mesh_fleet
@@ -38,7 +40,7 @@
             process,
             _process_clock.ProcessClock(process),
             random.Random(self.starts),
-            settings.StoreSettings(STORE_ADDRESS),
+            attrs.evolve(self.load_settings(name).store, address=STORE_ADDRESS),
             state,
         )
 
--- a/tests/mesh/test_state_messages.py
+++ b/tests/mesh/test_state_messages.py
@@ -1,5 +1,6 @@
 """Guards against a malformed message of one peer that ends a stream and its calls."""
 
+import math
 import zlib
 from collections.abc import Callable
 from typing import Any
@@ -53,6 +54,7 @@
         "is_reader": True,
         "items": [ITEM],
         "retained": [[ITEM, True]],
+        "age_ms": 2.5,
     }
     return list({**fields, **wrong}.values())
 
@@ -100,6 +102,10 @@
     answer(retained=[ITEM]),
     answer(retained=[[ITEM, 1]]),
     *(answer(retained=[[bad, True]]) for bad in BAD_ITEMS),
+    *(
+        answer(age_ms=bad)
+        for bad in (-0.5, 3, "1", True, math.inf, -math.inf, math.nan)
+    ),
 ]
 CASES = [
     *((_state_message.decode_request, document) for document in REQUESTS),
@@ -145,6 +151,7 @@
         2,
         True,
         (published.RetainedItem(items[0], True),),
+        812.5,
     )
     decoded = _state_message.decode_answer(sent_answer.encode()).unwrap()
     assert decoded == sent_answer
