Admit requests of teams by their API keys

Cause: API keys were forwarded to targets as ordinary headers, any client could name a team, and a revoked key ran wherever it was sent. Change: one table of checks at the entry node (ready, route, key), to which checks that answer later can be added. A known key is accepted only while the node's knowledge of the store is younger than the revocation bound less 250 ms, an unknown one is denied only by a node that knows all keys. Key and age are checked again before each attempt and when the call starts at its target, on the uncached boot clock. Readers replace keys by digests before anything keeps the item. With teams in force the team's class goes before the route's, also in the queue in front of the target.

--- a/src/jujubetiller/limits/__init__.py
+++ b/src/jujubetiller/limits/__init__.py
@@ -7,6 +7,7 @@
 from jujubetiller.limits._arrival_queue_order import ArrivalQueueOrder
 from jujubetiller.limits._build_guard import build_guard
 from jujubetiller.limits._build_policy import build_order, build_policy
+from jujubetiller.limits._class_queue_order import ClassQueueOrder
 from jujubetiller.limits._fixed_limit_policy import FixedLimitPolicy
 from jujubetiller.limits._gradient_limit_policy import GradientLimitPolicy
 from jujubetiller.limits._guard_entry import EntryState, GuardEntry
@@ -29,6 +30,7 @@
     "AdditiveIncreaseLimitPolicy",
     "AdmissionQueue",
     "ArrivalQueueOrder",
+    "ClassQueueOrder",
     "EntryState",
     "FixedLimitPolicy",
     "GradientLimitPolicy",
--- a/src/jujubetiller/mesh/_build_parts.py
+++ b/src/jujubetiller/mesh/_build_parts.py
@@ -20,6 +20,7 @@
     _configuration_in_force,
     _header_names,
     _instance_directory,
+    _key_check,
     _mesh_parts,
     _mesh_state,
     _retry_budget,
@@ -64,6 +65,7 @@
         requires_echo=True,
     )
     watch = crashes.TargetWatch(time_source, target_client)
+    state_age = published.StateAge(boot_clock)
     recorder = notices.NoticeRecorder(guard, headers.notices)
     return _mesh_parts.MeshParts(
         reactor=reactor,
@@ -96,5 +98,6 @@
         delays=congestion.PeakDelay(time_source),
         callers=congestion.CallerShares(),
         throttles=congestion.Throttles(time_source, random_source),
-        state_age=published.StateAge(boot_clock),
+        state_age=state_age,
+        keys=_key_check.KeyCheck(state_age, node_settings.teams, headers.authorization),
     )
--- a/src/jujubetiller/mesh/_call_reports.py
+++ b/src/jujubetiller/mesh/_call_reports.py
@@ -22,9 +22,12 @@
 )
 
 
+_KEY_CODES = frozenset((_Code.KEYS_NOT_CURRENT, _Code.UNKNOWN_API_KEY))
+
+
 def shows_load(code: codes.ResultCode) -> bool:
     """Return whether the end of a request tells a throttle about its service."""
-    return code not in _CRASH_CODES
+    return code not in _CRASH_CODES and code not in _KEY_CODES
 
 
 def report_attempt(
--- a/src/jujubetiller/mesh/_configuration_in_force.py
+++ b/src/jujubetiller/mesh/_configuration_in_force.py
@@ -5,7 +5,8 @@
 import logbook
 import result
 
-from jujubetiller import published, routes
+from jujubetiller import published, routes, teams
+from jujubetiller.mesh import _team_changes
 
 _LOG = logbook.Logger("jujubetiller.mesh")
 
@@ -65,6 +66,9 @@
         configuration = decoded.ok_value
         if configuration.version <= self.version:
             return
+        old_table = (
+            teams.TeamTable() if self.current is None else (self.current.team_table)
+        )
         self.current = configuration
         self.table = routes.RouteTable(configuration.routes)
         names = {route.name for route in configuration.routes}
@@ -77,5 +81,14 @@
                 "version": configuration.version,
                 "revision": str(item.revision),
                 "routes": len(configuration.routes),
+                **_team_changes.describe_teams(configuration.team_table),
             },
         )
+        changes = _team_changes.describe_key_changes(
+            old_table, configuration.team_table
+        )
+        if changes:
+            _LOG.info(
+                "keys of teams changed",
+                extra={"version": configuration.version, **changes},
+            )
--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -11,6 +11,7 @@
     _attempt_policy,
     _call_reports,
     _ingress_call,
+    _key_check,
     _mesh_parts,
     _overdue_timer,
     _replies,
@@ -31,6 +32,7 @@
         "cancel_attempt",
         "deadline",
         "failed_answer",
+        "holder",
         "instance",
         "outcome",
         "queue_delay_ms",
@@ -54,22 +56,27 @@
         route: routes.Route,
         deadline: calls.Deadline,
         reply: Callable[[edge.EdgeReply], None],
+        holder: _key_check.KeyHolder | None = None,
     ) -> None:
         self.parts = parts
+        self.holder = holder
         self.route = route
         self.deadline = deadline
         self.reply: Callable[[edge.EdgeReply], None] | None = reply
         self.started_at_ms = parts.clock.now_ms()
         self.service = parts.configuration.choose_service(route)
         self.request_id = message.control.get(parts.headers.request_id, "")
-        self.request = _request.make_request(parts, message, route, self.service)
+        team = None if holder is None else holder.team
+        self.request = _request.make_request(parts, message, route, self.service, team)
         self.attempts = _attempt_policy.Attempts(route.idempotent, route.max_attempts)
         self.outcome = retries.RequestOutcome()
         self.failed_answer: calls.CallAnswer | None = None
         """The latest failure that an instance answered; its request has run."""
 
         self.instance: routing.RoutableInstance | None = None
-        self.throttle = parts.throttles.find(route.name, route.priority_class)
+        self.throttle = parts.throttles.find(
+            *_request.name_throttle(route, self.request, team)
+        )
         self.queue_delay_ms = 0.0
         """The longest queueing delay that answers to this request reported."""
 
@@ -99,6 +106,12 @@
         If it was sent to all instances, one of them is chosen again, unless
         ``may_repeat`` is false.
         """
+        code = self.parts.keys.check_again(
+            self.parts.configuration.current, self.holder
+        )
+        if code is not None:
+            self.finish(self.outcome.add(calls.make_refusal(code)))
+            return
         choose = functools.partial(
             self.parts.router.choose, self.service, urgent=self.is_urgent()
         )
@@ -113,7 +126,7 @@
 
     def is_urgent(self) -> bool:
         """Return whether the request goes before others when instances lack room."""
-        return self.route.priority_class == 0 or self.throttle.exempt
+        return self.request.priority_class == 0 or self.throttle.exempt
 
     def send(self, instance: routing.RoutableInstance) -> None:
         """Send the request to the node of ``instance``, or to this node's target."""
@@ -126,6 +139,7 @@
         request.attempt = len(self.tried)
         request.expected_instance = instance.instance
         request.deadline_left_ms = self.deadline.at_ms - self.sent_at_ms
+        request.start_within_ms = self.parts.keys.start_within_ms(self.holder)
         request.rate_limit_per_s = self.parts.router.known_rate_limit(instance)
         self.parts.router.record_sent(instance)
         if self.attempts.may_retry_unanswered():
--- a/src/jujubetiller/mesh/_egress_site.py
+++ b/src/jujubetiller/mesh/_egress_site.py
@@ -1,11 +1,11 @@
 """The listener for clients and for the target on the same VM."""
 
+import functools
 from collections.abc import Callable
 
 from jujubetiller import calls, codes, edge, routes
-from jujubetiller.mesh import _egress_call, _ingress_call, _mesh_parts, _replies
+from jujubetiller.mesh import _egress_call, _entry_checks, _mesh_parts, _replies
 
-_Code = codes.ResultCode
 _MAX_DEADLINE_DIGITS = 9
 
 
@@ -29,16 +29,26 @@
         reply: Callable[[edge.EdgeReply], None],
     ) -> Callable[[], None]:
         """Start the call of a request, or refuse it."""
-        if not self.parts.is_ready():
-            reply(self.refuse(_Code.NOT_READY, "no configuration has been read yet"))
-            return edge.do_nothing
-        host = _ingress_call.find_header(message.headers, "host") or ""
-        route = self.parts.configuration.table.find(host, message.path)
-        if route is None:
-            reply(self.refuse(_Code.NO_ROUTE, f"host {host!r}, path {message.path!r}"))
-            return edge.do_nothing
+        run = _entry_checks.EntryRun(
+            self.parts,
+            _entry_checks.EntryRequest(message),
+            functools.partial(self.admit, reply),
+            lambda refusal: reply(self.refuse(refusal.code, refusal.detail)),
+        )
+        run.advance()
+        return run.cancel
+
+    def admit(
+        self,
+        reply: Callable[[edge.EdgeReply], None],
+        entry: _entry_checks.EntryRequest,
+    ) -> Callable[[], None]:
+        """Start the call of a request that passed the checks."""
+        message, route = entry.message, entry.route
+        assert route is not None
+        deadline = self.find_deadline(message, route)
         call = _egress_call.EgressCall(
-            self.parts, message, route, self.find_deadline(message, route), reply
+            self.parts, message, route, deadline, reply, entry.holder
         )
         call.start()
         return call.cancel
--- a/src/jujubetiller/mesh/_ingress_call.py
+++ b/src/jujubetiller/mesh/_ingress_call.py
@@ -32,6 +32,7 @@
         "parts",
         "reply",
         "request",
+        "starts_by_ms",
         "target_call",
     )
 
@@ -45,6 +46,11 @@
         self.request = request
         self.reply: Callable[[calls.CallAnswer], None] | None = reply
         self.deadline = calls.Deadline.after(parts.clock, request.deadline_left_ms)
+        self.starts_by_ms: float | None = None
+        """When the call must have started, on the clock of the age of keys."""
+
+        if request.start_within_ms is not None:
+            self.starts_by_ms = parts.state_age.now_ms() + request.start_within_ms
         self.target_call: target.TargetCall | None = None
         self.contained: crashes.SuspectCall | None = None
         """The call as the containment of crashes sees it."""
@@ -60,8 +66,9 @@
 
     def begin(self) -> None:
         """Start, queue or refuse the call."""
-        if self.must_run_elsewhere():
-            self.refuse(_Code.DRAINING)
+        code = self.find_refusal()
+        if code is not None:
+            self.refuse(code)
             return
         caller = find_header(self.request.headers, self.parts.headers.caller_service)
         self.parts.callers.record(self.request.kind, caller or "")
@@ -77,6 +84,15 @@
         )
         containment.submit(self.contained)
 
+    def find_refusal(self) -> codes.ResultCode | None:
+        """Return why the call must not start here now, or None."""
+        if self.must_run_elsewhere():
+            return _Code.DRAINING
+        starts_by_ms = self.starts_by_ms
+        if starts_by_ms is None or self.parts.state_age.now_ms() < starts_by_ms:
+            return None
+        return self.parts.keys.refuse_late_start()
+
     def must_run_elsewhere(self) -> bool:
         """Return whether the instance leaves, or the node stops too soon for the call.
 
@@ -95,9 +111,10 @@
 
     def start(self) -> None:
         """Send the call to the target, unless it has to run elsewhere by now."""
-        if self.must_run_elsewhere():
+        code = self.find_refusal()
+        if code is not None:
             self.parts.guard.abandoned(self.entry)
-            self.refuse(_Code.DRAINING)
+            self.refuse(code)
             return
         self.parts.delays.record(self.entry.wait_ms)
         request = self.request
@@ -108,6 +125,7 @@
             *request.headers,
             (names.deadline_ms, str(left_ms)),
             (names.expected_instance, request.expected_instance),
+            *(((names.team, request.team),) if request.team else ()),
         )
         self.target_call = self.parts.target.send(
             target.TargetRequest(
--- a/src/jujubetiller/mesh/_mesh_counters.py
+++ b/src/jujubetiller/mesh/_mesh_counters.py
@@ -2,8 +2,13 @@
 
 from collections.abc import Iterable, Mapping
 
-from jujubetiller import crashes, metrics, notices, published
-from jujubetiller.mesh import _mesh_parts, _store_reading
+from jujubetiller import crashes, metrics, notices, published, teams
+from jujubetiller.mesh import (
+    _key_check,
+    _mesh_parts,
+    _store_reading,
+    _team_changes,
+)
 
 
 def read_routing(parts: _mesh_parts.MeshParts) -> Mapping[str, float]:
@@ -30,6 +35,21 @@
     }
 
 
+def read_keys(parts: _mesh_parts.MeshParts) -> Mapping[str, float]:
+    """Return the numbers of teams and keys, and the age of what is known of them.
+
+    The age is -1 while nothing is known of the store.
+    """
+    configuration = parts.configuration.current
+    table = teams.TeamTable() if configuration is None else configuration.team_table
+    age_ms = _key_check.describe_age(parts.state_age.age_ms())
+    return {
+        **{name: float(n) for name, n in _team_changes.describe_teams(table).items()},
+        "age_ms": -1.0 if age_ms is None else float(age_ms),
+        "is_current": float(parts.keys.are_current),
+    }
+
+
 def make_reading_group(
     reading: _store_reading.StoreReading,
 ) -> metrics.CounterGroup:
@@ -59,6 +79,17 @@
     )
     yield from notices.make_groups(parts.guard, parts.notices)
     yield from crashes.make_groups(parts.containment, parts.watch)
+    yield metrics.CounterGroup(
+        "keys_refused",
+        "Requests refused for their API keys or the age of the keys, by reason.",
+        lambda: parts.keys.refused,
+    )
+    yield metrics.CounterGroup(
+        "keys_in_force",
+        "Teams, their API keys, and the age of the node's knowledge of the store.",
+        lambda: read_keys(parts),
+        is_counter=False,
+    )
     yield metrics.CounterGroup(
         "guard_refused",
         "Calls that the guard of the target refused, by result code.",
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -14,6 +14,7 @@
     clock,
     crashes,
     edge,
+    limits,
     published,
     settings,
     streams,
@@ -27,6 +28,7 @@
     _mesh_counters,
     _peer_calls,
     _peer_prober,
+    _request,
     _service_peers,
     _state_exchange,
     _state_merge,
@@ -131,6 +133,8 @@
         self.applied_version = 0
         """Version of the configuration that the directory and the edge apply."""
 
+        self.orders_by_class = False
+
     def start(self) -> None:
         """Open the listeners and start to read the store.
 
@@ -222,6 +226,7 @@
             self.applied_version = self.parts.configuration.version
             self.parts.directory.refresh()
             self.apply_bounds()
+            self.apply_queue_order()
         own = self.parts.directory.own
         if own is None:
             return
@@ -230,6 +235,15 @@
         if slots != self.parts.guard.slots:
             self.parts.guard.set_slots(slots)
 
+    def apply_queue_order(self) -> None:
+        """Start waiting calls by their classes while there are teams."""
+        has_teams = _request.has_teams_in_force(self.parts)
+        if has_teams == self.orders_by_class:
+            return
+        self.orders_by_class = has_teams
+        order = limits.build_order(self.settings.limits.queue_order)
+        self.parts.guard.set_order(limits.ClassQueueOrder() if has_teams else order)
+
     def apply_bounds(self) -> None:
         """Apply the configuration's bounds on clients' requests."""
         configuration = self.parts.configuration.current
@@ -256,6 +270,7 @@
         if self.store_stability.have_entries_expired():
             self.state.release_removals()
         self.load_log.write_if_due()
+        self.parts.keys.note_age(self.parts.configuration.current)
 
     def reload(self, node_settings: settings.MeshSettings) -> None:
         """Apply changed settings; the addresses of the listeners do not change."""
--- a/src/jujubetiller/mesh/_mesh_parts.py
+++ b/src/jujubetiller/mesh/_mesh_parts.py
@@ -24,6 +24,7 @@
     _configuration_in_force,
     _header_names,
     _instance_directory,
+    _key_check,
     _mesh_state,
     _retry_budget,
 )
@@ -64,6 +65,7 @@
     callers: congestion.CallerShares
     throttles: congestion.Throttles
     state_age: published.StateAge
+    keys: _key_check.KeyCheck
     pool: streams.StreamPool = attrs.field(init=False)
     prober: "_peer_prober.PeerProber" = attrs.field(init=False)
 
--- a/src/jujubetiller/mesh/_request.py
+++ b/src/jujubetiller/mesh/_request.py
@@ -1,7 +1,10 @@
 """The conversion of a client's request to a call."""
 
-from jujubetiller import calls, edge, limits, routes
-from jujubetiller.mesh import _mesh_parts
+from jujubetiller import calls, edge, limits, routes, teams
+from jujubetiller.mesh import _header_names, _mesh_parts
+
+CLASSES_PER_TEAM_CLASS = 1_024
+"""A class of routes above this counts as the least important one of its team."""
 
 
 def make_request(
@@ -9,8 +12,16 @@
     message: edge.EdgeMessage,
     route: routes.Route,
     service: str,
+    team: teams.Team | None = None,
 ) -> calls.CallRequest:
-    """Return the call for a request, with the headers for the target."""
+    """Return the call for a request, with the headers for the target.
+
+    With teams in the configuration, the header with the API key is left out.
+    """
+    has_teams = has_teams_in_force(parts)
+    priority_class = route.priority_class
+    if has_teams:
+        priority_class = find_priority_class(route, team)
     names = parts.headers
     own = (
         names.deadline_ms,
@@ -25,14 +36,47 @@
         method=message.method,
         path=message.path,
         kind=route.name,
-        priority_class=route.priority_class,
-        rank=limits.compute_rank(route.priority_class, request_id),
+        priority_class=priority_class,
+        rank=limits.compute_rank(priority_class, request_id),
         idempotent=route.idempotent,
         deadline_left_ms=0.0,
         headers=(
-            *message.headers,
+            *(drop_key(names, message.headers) if has_teams else message.headers),
             *passed,
             (names.caller_service, parts.settings.service),
         ),
         body=message.body,
+        team="" if team is None else team.name,
     )
+
+
+def find_priority_class(route: routes.Route, team: teams.Team | None) -> int:
+    """Return the class of a request, in which its team goes before its route."""
+    team_class = 0 if team is None else team.priority_class
+    within = min(route.priority_class, CLASSES_PER_TEAM_CLASS - 1)
+    return CLASSES_PER_TEAM_CLASS * team_class + within
+
+
+def name_throttle(
+    route: routes.Route, request: calls.CallRequest, team: teams.Team | None
+) -> tuple[str, int]:
+    """Return the name and the class of a request's throttle.
+
+    Requests of one route have a throttle for each class of their teams.
+    """
+    if team is None or not team.priority_class:
+        return route.name, request.priority_class
+    return f"{route.name} (team class {team.priority_class})", request.priority_class
+
+
+def has_teams_in_force(parts: _mesh_parts.MeshParts) -> bool:
+    """Return whether the configuration in force has teams."""
+    configuration = parts.configuration.current
+    return configuration is not None and bool(configuration.team_table)
+
+
+def drop_key(
+    names: _header_names.HeaderNames, headers: tuple[tuple[str, str], ...]
+) -> tuple[tuple[str, str], ...]:
+    """Return ``headers`` without the one that holds the API key."""
+    return tuple(pair for pair in headers if pair[0].lower() != names.authorization)
--- a/src/jujubetiller/platform/_store_answer.py
+++ b/src/jujubetiller/platform/_store_answer.py
@@ -6,7 +6,7 @@
 import attrs
 
 from jujubetiller import published
-from jujubetiller.platform import _fields
+from jujubetiller.platform import _configuration, _fields, _key_digests
 
 OK = 200
 GONE = 410
@@ -67,6 +67,11 @@
 
 
 def _translate_item(row: Any, epoch: int) -> published.PublishedItem:
+    item = _read_item(row, epoch)
+    return _key_digests.hide_keys(item) if item.key == _configuration.KEY else item
+
+
+def _read_item(row: Any, epoch: int) -> published.PublishedItem:
     key = _fields.read_text(row, "key")
     revision = published.Revision(epoch, _fields.read_integer(row, "revision"))
     if row.get("tombstone"):
--- a/src/jujubetiller/platform/_teams.py
+++ b/src/jujubetiller/platform/_teams.py
@@ -1,12 +1,16 @@
 """The format of the teams in the operator's configuration."""
 
 import math
+import re
 from typing import Any
 
 from jujubetiller import schema, teams
-from jujubetiller.platform import _fields
+from jujubetiller.platform import _fields, _key_digests
 
 HIGHEST_PRIORITY_CLASS = 1_023
+KEYS = _key_digests.KEYS
+
+_DIGEST = re.compile("[0-9a-f]{64}")
 HIGHEST_RATE_PER_S = 1e9
 
 
@@ -29,12 +33,9 @@
         raise schema.FieldError(
             "tenants.name", f"allowed are printable ASCII texts, got {name!r:.80}"
         )
-    keys = _fields.read(row, "api_keys", list, [])
-    if not all(isinstance(key, str) and key for key in keys):
-        raise schema.FieldError("tenants.api_keys", "allowed are non-empty texts")
     return teams.Team(
         name=name,
-        key_digests=frozenset(map(teams.digest_key, keys)),
+        key_digests=_read_digests(row),
         priority_class=_fields.read_integer(
             row, "priority", highest=HIGHEST_PRIORITY_CLASS, default=0
         ),
@@ -43,6 +44,25 @@
     )
 
 
+def _read_digests(row: dict[str, Any]) -> frozenset[bytes]:
+    """Return the digests of a team's keys, which may have taken the place of the keys.
+
+    No message holds a key.
+    """
+    name = _key_digests.DIGESTS if row.get(KEYS) is None else KEYS
+    values = row.get(name)
+    if values is None:
+        return frozenset()
+    is_list = isinstance(values, list)
+    if not is_list or not all(isinstance(value, str) and value for value in values):
+        raise schema.FieldError(f"tenants.{name}", "allowed are non-empty texts")
+    if name == KEYS:
+        return frozenset(map(teams.digest_key, values))
+    if not all(map(_DIGEST.fullmatch, values)):
+        raise schema.FieldError(f"tenants.{name}", "allowed are SHA-256 digests")
+    return frozenset(map(bytes.fromhex, values))
+
+
 def _read_rate(row: dict[str, Any], name: str) -> float:
     value = row.get(name)
     if value is None:
--- a/src/jujubetiller/teams/_team_table.py
+++ b/src/jujubetiller/teams/_team_table.py
@@ -44,7 +44,10 @@
         The lookup compares digests, whose bytes a sender of keys cannot choose, so its
         duration reveals nothing about the keys.
         """
-        digest = _digest_key.digest_key(key)
+        return self.find_digest(_digest_key.digest_key(key))
+
+    def find_digest(self, digest: bytes) -> _team.Team | None:
+        """Return the team that holds the key with ``digest``, or None."""
         team = self.by_digest.get(digest)
         if team is None:
             return None
