--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -14,13 +14,13 @@
     clock,
     crashes,
     edge,
-    limits,
     published,
     settings,
     streams,
 )
 from jujubetiller.mesh import (
     _build_parts,
+    _class_order,
     _drain,
     _egress_site,
     _header_names,
@@ -28,7 +28,6 @@
     _mesh_counters,
     _peer_calls,
     _peer_prober,
-    _request,
     _service_peers,
     _state_exchange,
     _state_merge,
@@ -126,6 +125,7 @@
             _service_peers.ServicePeers(self.parts),
         )
         self.load_log = _load_log.LoadLog(self.parts)
+        self.class_order = _class_order.ClassOrder(self.parts)
         self.ports: dict[str, interfaces.IListeningPort] = {}
         self.peer_address = node_settings.listen.peer
         self.edges: dict[str, edge.EdgeFactory] = {}
@@ -133,8 +133,6 @@
         self.applied_version = 0
         """Version of the configuration that the directory and the edge apply."""
 
-        self.orders_by_class = False
-
     def start(self) -> None:
         """Open the listeners and start to read the store.
 
@@ -226,7 +224,7 @@
             self.applied_version = self.parts.configuration.version
             self.parts.directory.refresh()
             self.apply_bounds()
-            self.apply_queue_order()
+            self.class_order.apply()
         own = self.parts.directory.own
         if own is None:
             return
@@ -235,15 +233,6 @@
         if slots != self.parts.guard.slots:
             self.parts.guard.set_slots(slots)
 
-    def apply_queue_order(self) -> None:
-        """Start waiting calls by their classes while there are teams."""
-        has_teams = _request.has_teams_in_force(self.parts)
-        if has_teams == self.orders_by_class:
-            return
-        self.orders_by_class = has_teams
-        order = limits.build_order(self.settings.limits.queue_order)
-        self.parts.guard.set_order(limits.ClassQueueOrder() if has_teams else order)
-
     def apply_bounds(self) -> None:
         """Apply the configuration's bounds on clients' requests."""
         configuration = self.parts.configuration.current
--- a/src/jujubetiller/mesh/_store_reading.py
+++ b/src/jujubetiller/mesh/_store_reading.py
@@ -1,6 +1,6 @@
 """Reading of the store by some of the nodes, for all of them."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
 import logbook
@@ -9,6 +9,7 @@
 from jujubetiller import calls, published, readers, settings
 from jujubetiller.mesh import (
     _held_requests,
+    _listed_hosts,
     _mesh_parts,
     _state_exchange,
     _state_message,
@@ -133,7 +134,7 @@
     def _apply_peek(self, items: tuple[published.PublishedItem, ...]) -> None:
         if self.knows_nodes or self.is_stopped:
             return
-        zones = self._find_hosts(items)
+        zones = _listed_hosts.find_hosts(self.parts.directory.decoder, items)
         if self.choice.zone in zones:
             self._set_nodes(zones)
             self._ask_round()
@@ -160,18 +161,6 @@
         self.knows_nodes = True
         self._update()
 
-    def _find_hosts(
-        self, items: Iterable[published.PublishedItem]
-    ) -> dict[str, set[str]]:
-        """Return the hosts of the listed instances by zone."""
-        hosts: dict[str, set[str]] = {}
-        for item in items:
-            decoded = self.parts.directory.decoder.decode_instance(item)
-            if isinstance(decoded, result.Ok):
-                instance = decoded.ok_value
-                hosts.setdefault(instance.zone, set()).add(instance.address.host)
-        return hosts
-
     def _update(self) -> None:
         """Start or stop reading as the choice of readers says."""
         self.source.set_primary(self.choice.is_primary())
--- a/src/jujubetiller/platform/_store_answer.py
+++ b/src/jujubetiller/platform/_store_answer.py
@@ -4,10 +4,13 @@
 from typing import Any
 
 import attrs
+import logbook
 
 from jujubetiller import published
 from jujubetiller.platform import _configuration, _fields, _key_digests
 
+_LOG = logbook.Logger("jujubetiller.platform")
+
 OK = 200
 GONE = 410
 
@@ -24,6 +27,15 @@
     last_key: str
     """The key of the last row, after which the next page begins."""
 
+    def log_problems(self) -> int:
+        """Log that rows could not be read, and return how many."""
+        if self.problems:
+            _LOG.warning(
+                "store items not read",
+                extra={"items": len(self.problems), "first": self.problems[0]},
+            )
+        return len(self.problems)
+
     def has_any(self) -> bool:
         """Return whether the answer has rows, also if none of them could be read."""
         return bool(self.items or self.problems)
--- a/src/jujubetiller/platform/_store_reader.py
+++ b/src/jujubetiller/platform/_store_reader.py
@@ -169,10 +169,7 @@
             return
         self.pending_read = None
         if problem is None:
-            has_pause = self.had_changes or self.position.repeats_listings()
-            pause_ms = self._draw_changes_pause_ms() if has_pause else 0.0
-            if not self.position.repeats_listings():
-                pause_ms = self.freshness.limit_pause_ms(pause_ms)
+            pause_ms = self._draw_pause_ms()
         else:
             self.freshness.record_failure(str(problem))
             pause_ms = self.backoff.next_ms()
@@ -180,6 +177,18 @@
         if not self.is_watch_replaced:
             self.on_read_end()
 
+    def _draw_pause_ms(self) -> float:
+        """Return the pause after a read that did not fail."""
+        repeats_listings = self.position.repeats_listings()
+        if not self.had_changes and not repeats_listings:
+            return 0.0
+        pause_ms = self.random.uniform(
+            SHORTEST_CHANGES_PAUSE_MS, LONGEST_CHANGES_PAUSE_MS
+        )
+        if repeats_listings:
+            return pause_ms
+        return self.freshness.limit_pause_ms(pause_ms)
+
     async def _read_once(self) -> str | None:
         """List or watch once; return the reason of a failure, or ``None``."""
         self.had_changes = False
@@ -205,7 +214,7 @@
             if answer.status != _store_answer.OK:
                 return f"listing failed: {answer.status}"
             rows = answer.read_items("items")
-            self._record_problems(rows)
+            self.bad_rows += rows.log_problems()
             items += rows.items
             as_of = answer.read_revision()
             revision = as_of if revision is None else min(revision, as_of)
@@ -241,7 +250,7 @@
         if answer.status != _store_answer.OK:
             return f"watch failed: {answer.status}"
         rows = answer.read_items("events")
-        self._record_problems(rows)
+        self.bad_rows += rows.log_problems()
         events = rows.items
         self.had_changes = bool(events)
         self.position.record_watch()
@@ -255,18 +264,6 @@
             )
         return None
 
-    def _record_problems(self, rows: _store_answer.ItemRows) -> None:
-        """Count and log the rows that could not be read; the others are applied."""
-        if rows.problems:
-            self.bad_rows += len(rows.problems)
-            _LOG.warning(
-                "store items not read",
-                extra={"items": len(rows.problems), "first": rows.problems[0]},
-            )
-
-    def _draw_changes_pause_ms(self) -> float:
-        return self.random.uniform(SHORTEST_CHANGES_PAUSE_MS, LONGEST_CHANGES_PAUSE_MS)
-
     def _apply(self, changes: published.Changes) -> None:
         # Recorded first: removals after an outage or a restore have to wait.
         is_new_history = changes.revision.epoch != self.position.read_epoch
