--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -110,6 +110,8 @@
             self.parts.configuration.current, self.holder
         )
         if code is not None:
+            version = self.parts.configuration.version
+            self.parts.keys.log_refusal(self.request_id, self.route.name, code, version)
             self.finish(self.outcome.add(calls.make_refusal(code)))
             return
         choose = functools.partial(
--- a/src/jujubetiller/mesh/_entry_checks.py
+++ b/src/jujubetiller/mesh/_entry_checks.py
@@ -3,13 +3,11 @@
 from collections.abc import Callable
 
 import attrs
-import logbook
 import result
 
 from jujubetiller import codes, edge, routes
 from jujubetiller.mesh import _ingress_call, _key_check, _mesh_parts
 
-_LOG = logbook.Logger("jujubetiller.mesh.keys")
 _Code = codes.ResultCode
 
 
@@ -80,17 +78,8 @@
         return None
     code = checked.err_value
     parts.metrics.count_refusal(code.value)
-    _LOG.info(
-        "request refused by its key: {}",
-        code.name,
-        extra={
-            "request": entry.message.control.get(parts.headers.request_id, ""),
-            "route": route.name,
-            "code": code.value,
-            "age_ms": _key_check.describe_age(parts.state_age.age_ms()),
-            "version": configuration.version,
-        },
-    )
+    request_id = entry.message.control.get(parts.headers.request_id, "")
+    parts.keys.log_refusal(request_id, route.name, code, configuration.version)
     return EntryRefusal(code)
 
 
--- a/src/jujubetiller/mesh/_key_check.py
+++ b/src/jujubetiller/mesh/_key_check.py
@@ -16,6 +16,15 @@
 """Requests are refused this long before keys may be revoked: for the clocks of nodes,
 and for the time between a check and the start of the call."""
 
+REASONS = (
+    "missing_key",
+    "missing_key_not_current",
+    "unknown_key",
+    "unknown_key_not_current",
+    "keys_not_current",
+    "late_start",
+)
+
 _SCHEME = "bearer"
 
 
@@ -49,7 +58,9 @@
         self.authorization = authorization
         """Name of the header with the key, in lower case."""
 
-        self.refused: collections.Counter[str] = collections.Counter()
+        self.refused: collections.Counter[str] = collections.Counter(
+            dict.fromkeys(REASONS, 0)
+        )
         """Refused requests by reason."""
 
         self.are_current = True
@@ -90,6 +101,22 @@
         self.refused["late_start"] += 1
         return _Code.KEYS_NOT_CURRENT
 
+    def log_refusal(
+        self, request_id: str, route: str, code: codes.ResultCode, version: int
+    ) -> None:
+        """Log that a request was refused; the key is in no line."""
+        _LOG.info(
+            "request refused by its key: {}",
+            code.name,
+            extra={
+                "request": request_id,
+                "route": route,
+                "code": code.value,
+                "age_ms": describe_age(self.state_age.age_ms()),
+                "version": version,
+            },
+        )
+
     def note_age(self, configuration: routes.Configuration | None) -> None:
         """Log if known keys are refused since a while, or accepted again."""
         if configuration is None or not configuration.team_table:
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -271,6 +271,7 @@
         _LOG.info("settings reloaded", extra={"changed": changed})
         self.settings = node_settings
         self.parts.settings = node_settings
+        self.parts.keys.settings = node_settings.teams
         self.parts.target.settings = node_settings.target
         if "target" in changed:
             # Kept-alive connections lead to the old address.
--- a/src/jujubetiller/mesh/_replies.py
+++ b/src/jujubetiller/mesh/_replies.py
@@ -44,6 +44,8 @@
     if entry.outcome is _NOT_RUN and status >= 499:
         status = _RETRY_STATUS
     headers = [_TEXT_TYPE, ("Jujubetiller-Code", str(code.value))]
+    if code is codes.ResultCode.UNKNOWN_API_KEY:
+        headers.append(("WWW-Authenticate", "Bearer"))
     if status == _RETRY_STATUS and entry.outcome is _NOT_RUN:
         pause_ms = MIN_RETRY_AFTER_MS + RETRY_AFTER_SPREAD_MS * random_source.random()
         if code is codes.ResultCode.RATE_LIMITED:
--- a/tests/mesh/test_keys.py
+++ b/tests/mesh/test_keys.py
@@ -119,7 +119,9 @@
     world.set_age(age_ms)
     world.ask(*headers)
     assert (world.replies[-1].status, world.last_code()) == (status, code.value)
-    assert ("Retry-After" in dict(world.replies[-1].headers)) == (status == 503)
+    headers_sent = dict(world.replies[-1].headers)
+    assert ("Retry-After" in headers_sent) == (status == 503)
+    assert ("WWW-Authenticate" in headers_sent) == (status == 401)
     assert world.sent() == []
 
 
--- a/tests/mesh/test_revocation.py
+++ b/tests/mesh/test_revocation.py
@@ -166,7 +166,7 @@
     world.fleet.store_site.down = False
     world.run(3_000.0, OTHER_KEY)
     counters = [node.parts.keys.refused for node in world.fleet.nodes.values()]
-    assert [counter for counter in counters if counter] == []
+    assert [counter for counter in counters if any(counter.values())] == []
 
 
 def test_a_new_key_is_never_denied_after_its_time() -> None:
