--- a/tests/mesh/store_fault_sequence.py
+++ b/tests/mesh/store_fault_sequence.py
@@ -51,9 +51,9 @@
     The operator and the instances write what a restored store has lost again.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, bounds: str = "") -> None:
         self.random = random.Random(seed)
-        self.fleet = store_fleet.StoreFleet(SERVICES)
+        self.fleet = store_fleet.StoreFleet(SERVICES, bounds=bounds)
         self.fleet.store.page_items = self.random.choice((3, 500))
         self.version = 12
         self.acknowledged: list[tuple[float, int]] = []
