Leave no reference cycle behind the checks of a request

Cause: the object that runs the checks referred to the request, which refers to it. Change: what admits and refuses is dropped when the checks are over; a verdict that is given before its check returns counts too. Result: a refused and an answered request are freed without a collection.

--- a/src/jujubetiller/mesh/_entry_checks.py
+++ b/src/jujubetiller/mesh/_entry_checks.py
@@ -31,24 +31,42 @@
 class LaterVerdict:
     """The verdict of a check that answers later.
 
-    The check calls ``give`` once, with None to admit the request. ``cancel`` is called
-    if the client goes away before.
+    The check calls ``give``, with None to admit the request. The first call counts.
+    ``cancel`` is called if the client goes away before.
     """
 
     def __init__(self, cancel: Callable[[], None] = edge.do_nothing) -> None:
         self.cancel = cancel
-        self.given: Callable[[EntryRefusal | None], None] | None = None
+        self.is_given = False
+        self.refusal: EntryRefusal | None = None
+        self.on_given: Callable[[EntryRefusal | None], None] | None = None
 
     def give(self, refusal: EntryRefusal | None) -> None:
         """Continue with the next check, or refuse the request."""
-        given, self.given = self.given, None
-        if given is not None:
-            given(refusal)
+        if self.is_given:
+            return
+        self.is_given = True
+        self.refusal = refusal
+        on_given, self.on_given = self.on_given, None
+        if on_given is not None:
+            on_given(refusal)
+
+    def when_given(self, on_given: Callable[[EntryRefusal | None], None]) -> None:
+        """Call ``on_given`` once with the verdict, at once if it is given already."""
+        if self.is_given:
+            on_given(self.refusal)
+        else:
+            self.on_given = on_given
 
 
 Verdict = EntryRefusal | LaterVerdict | None
 Check = Callable[[_mesh_parts.MeshParts, EntryRequest], Verdict]
 
+Admit = Callable[[EntryRequest], Callable[[], None]]
+"""Starts the call of a request and returns what cancels it."""
+
+Refuse = Callable[[EntryRefusal], None]
+
 
 def check_ready(parts: _mesh_parts.MeshParts, entry: EntryRequest) -> Verdict:
     """Refuse requests before the node knows a configuration and the instances."""
@@ -94,45 +112,53 @@
         self,
         parts: _mesh_parts.MeshParts,
         entry: EntryRequest,
-        admit: Callable[[EntryRequest], Callable[[], None]],
-        refuse: Callable[[EntryRefusal], None],
+        admit: Admit,
+        refuse: Refuse,
         checks: tuple[Check, ...] = CHECKS,
     ) -> None:
         self.parts = parts
         self.entry = entry
-        self.admit = admit
-        self.refuse = refuse
+        self.ends: tuple[Admit, Refuse] | None = (admit, refuse)
+        """Dropped when the checks are over: they refer to the request, which refers to
+        this object."""
+
         self.checks = checks
         self.position = 0
         self.cancel_step: Callable[[], None] = edge.do_nothing
         """Cancels what the request waits for: a check or its call."""
 
-        self.is_cancelled = False
-
     def advance(self) -> None:
         """Carry out the checks that are left, then admit or refuse the request."""
         while self.position < len(self.checks):
             verdict = self.checks[self.position](self.parts, self.entry)
             self.position += 1
             if isinstance(verdict, LaterVerdict):
-                verdict.given = self._continue
                 self.cancel_step = verdict.cancel
+                verdict.when_given(self._continue)
                 return
             if verdict is not None:
-                self.refuse(verdict)
+                self._end(verdict)
                 return
-        self.cancel_step = self.admit(self.entry)
+        self._end(None)
 
     def cancel(self) -> None:
         """Cancel the request after its client has disconnected."""
-        self.is_cancelled = True
+        self.ends = None
         self.cancel_step()
 
     def _continue(self, refusal: EntryRefusal | None) -> None:
         self.cancel_step = edge.do_nothing
-        if self.is_cancelled:
-            return
         if refusal is not None:
-            self.refuse(refusal)
+            self._end(refusal)
+        elif self.ends is not None:
+            self.advance()
+
+    def _end(self, refusal: EntryRefusal | None) -> None:
+        ends, self.ends = self.ends, None
+        if ends is None:
             return
-        self.advance()
+        admit, refuse = ends
+        if refusal is None:
+            self.cancel_step = admit(self.entry)
+        else:
+            refuse(refusal)
--- a/tests/mesh/test_keys.py
+++ b/tests/mesh/test_keys.py
@@ -1,7 +1,9 @@
 """Guards against requests that run with keys that are unknown or may be revoked."""
 
+import gc
 import io
 import json
+import weakref
 from collections.abc import Callable
 from typing import Any
 
@@ -306,7 +308,15 @@
 
 def test_a_check_may_answer_later() -> None:
     """Guards against requests that run twice, or after their client has left."""
-    for refusal, is_cancelled in ((None, False), (None, True), ("late", False)):
+    refused_late = _entry_checks.EntryRefusal(_Code.NOT_READY)
+    cases = (
+        (None, False, False),
+        (None, True, False),
+        (refused_late, False, False),
+        (None, False, True),
+        (refused_late, False, True),
+    )
+    for refusal, is_cancelled, is_early in cases:
         world = KeyMesh()
         later = _entry_checks.LaterVerdict()
         checks = (*_entry_checks.CHECKS, lambda parts, entry, later=later: later)
@@ -326,13 +336,14 @@
             refused.append,
             checks,
         )
+        if is_early:
+            later.give(refusal)
         run.advance()
-        assert (admitted, refused) == ([], [])
+        assert bool(admitted or refused) == is_early
         if is_cancelled:
             run.cancel()
-        given = None if refusal is None else _entry_checks.EntryRefusal(_Code.NOT_READY)
-        later.give(given)
-        later.give(given)
+        later.give(refusal)
+        later.give(refusal)
         assert len(admitted) == (refusal is None and not is_cancelled)
         assert len(refused) == (refusal is not None)
 
@@ -340,3 +351,32 @@
 def test_an_age_that_is_not_known_is_valid_in_logs() -> None:
     document = json.dumps({"age_ms": _key_check.describe_age(float("inf"))})
     assert json.load(io.StringIO(document)) == {"age_ms": None}
+
+
+@pytest.mark.parametrize("key", [KEY, "unknown"])
+def test_a_request_that_ended_leaves_no_reference_cycle(key: str) -> None:
+    """Guards against requests that stay in memory until the next collection."""
+    world = KeyMesh()
+
+    class Request:
+        cancel: Callable[[], None] | None = None
+
+        def send(self, answer: edge.EdgeReply) -> None:
+            self.cancel = None
+
+    def handle() -> weakref.ref[Request]:
+        request = Request()
+        headers = (("host", "a.example"), ("authorization", bearer(key)))
+        message = edge.EdgeMessage("POST", "/book/1", headers, {}, b"")
+        request.cancel = world.site.handle(message, request.send)
+        return weakref.ref(request)
+
+    gc.disable()
+    try:
+        reference = handle()
+        if key == KEY:
+            world.answer_call()
+            world.pool.calls.clear()
+        assert reference() is None
+    finally:
+        gc.enable()
