--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -20,6 +20,7 @@
 )
 from jujubetiller.mesh import (
     _build_parts,
+    _class_order,
     _drain,
     _egress_site,
     _header_names,
@@ -72,6 +73,7 @@
         headers: _header_names.HeaderNames,
         decoder: published.ItemDecoder,
         make_source: SourceFactory,
+        boot_clock: clock.Clock | None = None,
     ) -> None:
         self.reactor = reactor
         self.settings = node_settings
@@ -96,14 +98,18 @@
             decoder,
             self.store_stability.is_settled,
             self.boot_id,
+            boot_clock or clock.BootClock(),
         )
+        self.source.set_state_age(self.parts.state_age)
         self.parts.prober = _peer_prober.PeerProber(self.parts)
         self.parts.metrics.export(
             _mesh_counters.make_groups(self.parts, self.state, self.source)
         )
         self.exchange = _state_exchange.StateExchange(
             self.parts,
-            _state_merge.StateMerge(self.state, self.source, self.store_stability),
+            _state_merge.StateMerge(
+                self.state, self.source, self.store_stability, self.parts.state_age
+            ),
             self.own_peer_address,
         )
         self.reading = _store_reading.StoreReading(
@@ -119,6 +125,7 @@
             _service_peers.ServicePeers(self.parts),
         )
         self.load_log = _load_log.LoadLog(self.parts)
+        self.class_order = _class_order.ClassOrder(self.parts)
         self.ports: dict[str, interfaces.IListeningPort] = {}
         self.peer_address = node_settings.listen.peer
         self.edges: dict[str, edge.EdgeFactory] = {}
@@ -217,6 +224,7 @@
             self.applied_version = self.parts.configuration.version
             self.parts.directory.refresh()
             self.apply_bounds()
+            self.class_order.apply()
         own = self.parts.directory.own
         if own is None:
             return
@@ -251,6 +259,7 @@
         if self.store_stability.have_entries_expired():
             self.state.release_removals()
         self.load_log.write_if_due()
+        self.parts.keys.note_age(self.parts.configuration.current)
 
     def reload(self, node_settings: settings.MeshSettings) -> None:
         """Apply changed settings; the addresses of the listeners do not change."""
@@ -262,6 +271,7 @@
         _LOG.info("settings reloaded", extra={"changed": changed})
         self.settings = node_settings
         self.parts.settings = node_settings
+        self.parts.keys.settings = node_settings.teams
         self.parts.target.settings = node_settings.target
         if "target" in changed:
             # Kept-alive connections lead to the old address.
--- a/src/jujubetiller/mesh/_store_reading.py
+++ b/src/jujubetiller/mesh/_store_reading.py
@@ -1,6 +1,7 @@
 """Reading of the store by some of the nodes, for all of them."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
+from typing import Any
 
 import logbook
 import result
@@ -8,6 +9,7 @@
 from jujubetiller import calls, published, readers, settings
 from jujubetiller.mesh import (
     _held_requests,
+    _listed_hosts,
     _mesh_parts,
     _state_exchange,
     _state_message,
@@ -53,7 +55,12 @@
             parts.random,
             node_settings.zone,
             node_settings.listen.peer.host,
+            asks_first=node_settings.store.proof_interval_ms is not None,
         )
+        self.pacing = readers.QuestionPacing(
+            parts.random, node_settings.store.proof_interval_ms
+        )
+        self.next_round: Any = None
         self.pusher = _state_pusher.StatePusher(parts, exchange, self.choice)
         self.held = _held_requests.HeldRequests(parts.reactor, exchange.answer)
         self.knows_nodes = False
@@ -127,7 +134,7 @@
     def _apply_peek(self, items: tuple[published.PublishedItem, ...]) -> None:
         if self.knows_nodes or self.is_stopped:
             return
-        zones = self._find_hosts(items)
+        zones = _listed_hosts.find_hosts(self.parts.directory.decoder, items)
         if self.choice.zone in zones:
             self._set_nodes(zones)
             self._ask_round()
@@ -154,18 +161,6 @@
         self.knows_nodes = True
         self._update()
 
-    def _find_hosts(
-        self, items: Iterable[published.PublishedItem]
-    ) -> dict[str, set[str]]:
-        """Return the hosts of the listed instances by zone."""
-        hosts: dict[str, set[str]] = {}
-        for item in items:
-            decoded = self.parts.directory.decoder.decode_instance(item)
-            if isinstance(decoded, result.Ok):
-                instance = decoded.ok_value
-                hosts.setdefault(instance.zone, set()).add(instance.address.host)
-        return hosts
-
     def _update(self) -> None:
         """Start or stop reading as the choice of readers says."""
         self.source.set_primary(self.choice.is_primary())
@@ -195,9 +190,12 @@
             self.pusher.note_read()
 
     def _schedule_round(self) -> None:
-        jitter = 0.8 + 0.4 * self.parts.random.random()
-        pause_ms = self.parts.settings.exchange_ms * jitter
-        self.parts.reactor.callLater(pause_ms / 1000.0, self._run_round)
+        longest_ms = float(self.parts.settings.exchange_ms)
+        age_ms = self.parts.state_age.age_ms()
+        pause_ms = self.pacing.draw_pause_ms(longest_ms, age_ms)
+        self.next_round = self.parts.reactor.callLater(
+            pause_ms / 1000.0, self._run_round
+        )
 
     def _run_round(self) -> None:
         if self.is_stopped:
@@ -227,10 +225,20 @@
     ) -> None:
         if answer is not None and answer.is_reader:
             self.choice.record_reader(host)
+            self._advance_round()
         else:
             self._pass_over(host, has_answered=answer is not None)
         self._update()
 
+    def _advance_round(self) -> None:
+        """Start the next round once the reader should have its next proof."""
+        pause_ms = self.pacing.draw_answered_pause_ms(self.parts.state_age.age_ms())
+        if pause_ms is None or self.is_stopped or not self.next_round.active():
+            return
+        left_s = self.next_round.getTime() - self.parts.reactor.seconds()
+        if pause_ms / 1000.0 < left_s:
+            self.next_round.reset(pause_ms / 1000.0)
+
     def _pass_over(self, host: str, has_answered: bool) -> None:
         """Ask the next node in place of one that does not read."""
         if host not in self.choice.probed_at_ms:
--- a/src/jujubetiller/platform/_store_reader.py
+++ b/src/jujubetiller/platform/_store_reader.py
@@ -101,6 +101,11 @@
         if self.pending_read is not None:
             self.pending_read.cancel()
 
+    def set_state_age(self, state_age: published.StateAge) -> None:
+        """Record in ``state_age`` what reads prove."""
+        super().set_state_age(state_age)
+        self.freshness.proofs.state_age = state_age
+
     def set_primary(self, is_primary: bool) -> None:
         """Set whether the zone relies on this reader to notice silent connections.
 
@@ -164,8 +169,7 @@
             return
         self.pending_read = None
         if problem is None:
-            has_pause = self.had_changes or self.position.repeats_listings()
-            pause_ms = self._draw_changes_pause_ms() if has_pause else 0.0
+            pause_ms = self._draw_pause_ms()
         else:
             self.freshness.record_failure(str(problem))
             pause_ms = self.backoff.next_ms()
@@ -173,6 +177,18 @@
         if not self.is_watch_replaced:
             self.on_read_end()
 
+    def _draw_pause_ms(self) -> float:
+        """Return the pause after a read that did not fail."""
+        repeats_listings = self.position.repeats_listings()
+        if not self.had_changes and not repeats_listings:
+            return 0.0
+        pause_ms = self.random.uniform(
+            SHORTEST_CHANGES_PAUSE_MS, LONGEST_CHANGES_PAUSE_MS
+        )
+        if repeats_listings:
+            return pause_ms
+        return self.freshness.limit_pause_ms(pause_ms)
+
     async def _read_once(self) -> str | None:
         """List or watch once; return the reason of a failure, or ``None``."""
         self.had_changes = False
@@ -187,6 +203,7 @@
             return f"bad answer: {error}"
 
     async def _list(self) -> str | None:
+        started_ms = self.freshness.proofs.now_ms()
         items: list[published.PublishedItem] = []
         revision: published.Revision | None = None
         query = {"prefix": ""}
@@ -197,7 +214,7 @@
             if answer.status != _store_answer.OK:
                 return f"listing failed: {answer.status}"
             rows = answer.read_items("items")
-            self._record_problems(rows)
+            self.bad_rows += rows.log_problems()
             items += rows.items
             as_of = answer.read_revision()
             revision = as_of if revision is None else min(revision, as_of)
@@ -209,9 +226,11 @@
         if not self.position.accept_listing(revision):
             return f"listing failed: {revision} can't be watched"
         self._apply(published.Changes(revision, tuple(items), True))
+        self.freshness.proofs.record_read(started_ms)
         return None
 
     async def _watch(self, after: published.Revision) -> str | None:
+        started_ms = self.freshness.proofs.now_ms()
         wait_ms = self.freshness.start_watch(self.position.is_current())
         query = {"prefix": "", "after": str(after.number), "wait_ms": str(wait_ms)}
         self.watched_epoch = after.epoch
@@ -231,26 +250,19 @@
         if answer.status != _store_answer.OK:
             return f"watch failed: {answer.status}"
         rows = answer.read_items("events")
-        self._record_problems(rows)
+        self.bad_rows += rows.log_problems()
         events = rows.items
         self.had_changes = bool(events)
         self.position.record_watch()
         self.backoff.reset()
-        revision = max(after, answer.read_revision())
-        self._apply(published.Changes(revision, events, False))
-        return None
-
-    def _record_problems(self, rows: _store_answer.ItemRows) -> None:
-        """Count and log the rows that could not be read; the others are applied."""
-        if rows.problems:
-            self.bad_rows += len(rows.problems)
-            _LOG.warning(
-                "store items not read",
-                extra={"items": len(rows.problems), "first": rows.problems[0]},
+        as_of = answer.read_revision()
+        self._apply(published.Changes(max(after, as_of), events, False))
+        if as_of >= after:
+            # Otherwise the answer is from a server that lags behind.
+            self.freshness.proofs.record_read(
+                started_ms, 0.0 if rows.has_any() else wait_ms
             )
-
-    def _draw_changes_pause_ms(self) -> float:
-        return self.random.uniform(SHORTEST_CHANGES_PAUSE_MS, LONGEST_CHANGES_PAUSE_MS)
+        return None
 
     def _apply(self, changes: published.Changes) -> None:
         # Recorded first: removals after an outage or a restore have to wait.
