Add quotas of teams that hold over all nodes

Each node had only its own view of a team's rate, so a team could send its rate through every node. Nodes now generate tokens by their part 1/n of the fleet, delegate it to a coordinator of their zone, and get tokens that expire in 1 s.

--- /dev/null
+++ b/src/jujubetiller/quotas/__init__.py
@@ -0,0 +1,47 @@
+"""Quotas of teams that hold over all nodes, without agreement between them."""
+
+from jujubetiller.quotas._coordinator import Coordinator
+from jujubetiller.quotas._delegations import Delegations
+from jujubetiller.quotas._fleet_share import FleetShare
+from jujubetiller.quotas._messages import Answer, Delegation, Demand, Grant, Question
+from jujubetiller.quotas._node_quota import NodeQuota
+from jujubetiller.quotas._quota_counters import QuotaCounters
+from jujubetiller.quotas._quota_rounds import QuotaRounds, Refusal
+from jujubetiller.quotas._team_limit import (
+    DELEGATION_MS,
+    KNOWLEDGE_MS,
+    LISTED_MS,
+    ROUND_MS,
+    TOKEN_LIFE_MS,
+    TeamLimit,
+    derive_limit,
+)
+from jujubetiller.quotas._token_bucket import TokenBucket
+from jujubetiller.quotas._token_lots import Token, TokenLots
+from jujubetiller.quotas._transport import Transport
+
+__all__ = [
+    "DELEGATION_MS",
+    "KNOWLEDGE_MS",
+    "LISTED_MS",
+    "ROUND_MS",
+    "TOKEN_LIFE_MS",
+    "Answer",
+    "Coordinator",
+    "Delegation",
+    "Delegations",
+    "Demand",
+    "FleetShare",
+    "Grant",
+    "NodeQuota",
+    "Question",
+    "QuotaCounters",
+    "QuotaRounds",
+    "Refusal",
+    "TeamLimit",
+    "Token",
+    "TokenBucket",
+    "TokenLots",
+    "Transport",
+    "derive_limit",
+]
--- /dev/null
+++ b/src/jujubetiller/quotas/_coordinator.py
@@ -0,0 +1,198 @@
+"""Grants tokens from the shares that nodes have delegated."""
+
+import math
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from jujubetiller import clock
+from jujubetiller.quotas import (
+    _delegations,
+    _messages,
+    _team_limit,
+    _token_bucket,
+    _token_lots,
+)
+
+DEMAND_MS = 2_000.0
+"""Time over which the demand for a team's tokens is averaged."""
+
+KEPT_MS = 100.0
+"""A coordinator keeps what its own zone is expected to need for this long."""
+
+PREFETCH_PART = 0.75
+"""Tokens for requests to come are granted only from what is above this part of the
+bucket: they expire if they are not used, which matters to a team near its limit."""
+
+MAX_WAIT_MS = 60_000.0
+
+
+@attrs.define
+class _Demand:
+    """An average that decays, of tokens that were asked for."""
+
+    asked: float = 0.0
+    at_ms: float = 0.0
+
+    def add(self, amount: float, now_ms: float) -> None:
+        self.asked = self.per_ms(now_ms) * DEMAND_MS + amount
+        self.at_ms = now_ms
+
+    def per_ms(self, now_ms: float) -> float:
+        return self.asked * math.exp((self.at_ms - now_ms) / DEMAND_MS) / DEMAND_MS
+
+
+class Coordinator:
+    """The buckets of all teams, filled by the sum of the shares that are in use.
+
+    A node that reaches no coordinator is its own, with nothing but its own share.
+    """
+
+    def __init__(self, boot_clock: clock.Clock) -> None:
+        self.clock = boot_clock
+        self.at_ms = boot_clock.now_ms()
+        self.share_ms = 0.0
+        """The integral of the sum of all shares over time."""
+
+        self.delegations = _delegations.Delegations()
+        self.buckets: dict[str, _token_bucket.TokenBucket] = {}
+        self.borrowed: dict[str, _token_lots.TokenLots] = {}
+        self.demands: dict[str, _Demand] = {}
+
+    def configure(
+        self, limits: Mapping[str, _team_limit.TeamLimit], lowered: Iterable[str]
+    ) -> None:
+        """Apply the limits in force; ``lowered`` are the teams whose limit fell."""
+        self.advance()
+        for team, limit in limits.items():
+            bucket = self.buckets.get(team)
+            if bucket is None:
+                self.buckets[team] = _token_bucket.TokenBucket(limit, self.share_ms)
+            elif bucket.limit != limit:
+                bucket.set_limit(limit, self.share_ms, self.delegations.total)
+        for team in [team for team in self.buckets if team not in limits]:
+            del self.buckets[team]
+            self.demands.pop(team, None)
+            self.borrowed.pop(team, None)
+        for team in lowered:
+            self.borrowed.pop(team, None)
+
+    def advance(self) -> float:
+        """Account for the time since the last call; return the present time.
+
+        Between two calls shares can only end, so that the sum that is left has been
+        available all the time. Buckets are settled before the sum changes again.
+        """
+        now_ms = self.clock.now_ms()
+        before = self.delegations.total
+        self.delegations.expire(now_ms)
+        self.share_ms += (now_ms - self.at_ms) * self.delegations.total
+        self.at_ms = now_ms
+        self._settle_after_change(before)
+        return now_ms
+
+    def record_share(
+        self, sender: tuple[str, int], number: int, share: float, until_ms: float
+    ) -> None:
+        """Use ``share`` of ``sender`` until ``until_ms``."""
+        now_ms = self.advance()
+        before = self.delegations.total
+        self.delegations.record(sender, number, share, until_ms, now_ms)
+        self._settle_after_change(before)
+
+    def remove_share(self, sender: tuple[str, int]) -> None:
+        """Use the share of ``sender`` no more."""
+        self.advance()
+        before = self.delegations.total
+        self.delegations.remove(sender)
+        self._settle_after_change(before)
+
+    def stock(self, team: str) -> float:
+        """Return the tokens at hand, borrowed ones included."""
+        now_ms = self.advance()
+        bucket = self.buckets.get(team)
+        if bucket is None:
+            return 0.0
+        bucket.settle(self.share_ms, self.delegations.total)
+        lots = self.borrowed.get(team)
+        return bucket.tokens + (lots.total(now_ms) if lots else 0.0)
+
+    def add_borrowed(self, team: str, amount: float, expires_ms: float) -> None:
+        """Add tokens that another zone has granted."""
+        if team in self.buckets:
+            lots = self.borrowed.setdefault(team, _token_lots.TokenLots())
+            lots.add(amount, expires_ms)
+
+    def record_demand(self, team: str, amount: float) -> None:
+        """Record that nodes of the own zone asked for ``amount`` tokens."""
+        if team in self.buckets and amount > 0.0:
+            demand = self.demands.setdefault(team, _Demand())
+            demand.add(amount, self.clock.now_ms())
+
+    def expected(self, team: str, within_ms: float) -> float:
+        """Return the tokens that the own zone is expected to need in that time."""
+        demand = self.demands.get(team)
+        return demand.per_ms(self.clock.now_ms()) * within_ms if demand else 0.0
+
+    def grant_to_node(self, demand: _messages.Demand) -> _messages.Grant:
+        """Grant whole tokens: those that are needed first, then from the surplus."""
+        stock = self.stock(demand.team)
+        bucket = self.buckets.get(demand.team)
+        if bucket is None:
+            return _messages.Grant(demand.team, 0.0, 0.0, MAX_WAIT_MS)
+        whole = math.floor(stock + 1.0 - _token_lots.WHOLE)
+        amount = min(math.ceil(demand.needed), whole)
+        depth = bucket.limit.depth * self.delegations.total
+        surplus = math.floor(stock - amount - PREFETCH_PART * depth)
+        amount += max(0, min(math.floor(demand.wanted), surplus))
+        return self._take(demand, float(amount))
+
+    def grant_to_zone(self, demand: _messages.Demand) -> _messages.Grant:
+        """Grant what the own zone is not expected to need, also parts of tokens."""
+        self.stock(demand.team)
+        bucket = self.buckets.get(demand.team)
+        if bucket is None:
+            return _messages.Grant(demand.team, 0.0, 0.0, MAX_WAIT_MS)
+        # Borrowed tokens are not lent on: two zones would lend them to each other.
+        spare = bucket.tokens - self.expected(demand.team, KEPT_MS)
+        amount = bucket.take(max(0.0, min(demand.needed, spare)))
+        amount = math.floor(amount * 1000.0) / 1000.0
+        return _messages.Grant(demand.team, amount, _team_limit.TOKEN_LIFE_MS, 0.0)
+
+    def wait_ms(self, team: str, missing: float) -> float:
+        """Return the time until ``missing`` tokens more are expected."""
+        bucket = self.buckets.get(team)
+        total = self.delegations.total
+        if bucket is None or not total or not bucket.limit.rate_per_ms:
+            return _team_limit.LISTED_MS
+        return min(MAX_WAIT_MS, missing / (bucket.limit.rate_per_ms * total))
+
+    def _take(self, demand: _messages.Demand, amount: float) -> _messages.Grant:
+        now_ms = self.clock.now_ms()
+        left_ms = _team_limit.TOKEN_LIFE_MS
+        lots = self.borrowed.get(demand.team)
+        rest = amount
+        if lots is not None and rest:
+            taken, expires_ms = lots.take(rest, now_ms)
+            rest -= taken
+            if taken:
+                left_ms = min(left_ms, expires_ms - now_ms)
+            if not lots.lots:
+                del self.borrowed[demand.team]
+        bucket = self.buckets[demand.team]
+        bucket.take(rest)
+        missing = demand.needed - amount
+        wait_ms = 0.0
+        if missing > 0.0:
+            wait_ms = self.wait_ms(demand.team, max(0.0, missing - bucket.tokens))
+        return _messages.Grant(demand.team, amount, left_ms, wait_ms)
+
+    def _settle_after_change(self, before: float) -> None:
+        """Settle all buckets if the sum of the shares was ``before`` and has changed.
+
+        Up to now, none could hold more than its part of the lower sum.
+        """
+        total = self.delegations.total
+        if total != before:
+            for bucket in self.buckets.values():
+                bucket.settle(self.share_ms, min(before, total))
