Exchange tokens of teams between nodes, and refuse requests over the quota

A request that ends as not run gives its token back.

MeshParts.state_age is created here and fed by nobody yet: until the age of the store's state is recorded, a node has no share and generates no tokens.

--- a/src/jujubetiller/mesh/_build_parts.py
+++ b/src/jujubetiller/mesh/_build_parts.py
@@ -39,7 +39,7 @@
     is_settled: Callable[[published.Revision], bool],
     boot_id: str,
 ) -> _mesh_parts.MeshParts:
-    """Return the components of a node; ``pool`` and ``prober`` are not set yet."""
+    """Return the components of a node, without ``pool``, ``prober`` and ``quota``."""
     router = routing.LatencyWeightedRouter(
         time_source, random_source, node_settings.routing, node_settings.zone
     )
@@ -95,4 +95,5 @@
         delays=congestion.PeakDelay(time_source),
         callers=congestion.CallerShares(),
         throttles=congestion.Throttles(time_source, random_source),
+        state_age=published.StateAge(clock.BootClock()),
     )
--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -6,7 +6,7 @@
 import attrs
 import result
 
-from jujubetiller import calls, codes, edge, retries, routes, routing
+from jujubetiller import calls, codes, edge, quotas, retries, routes, routing
 from jujubetiller.mesh import (
     _attempt_policy,
     _call_reports,
@@ -35,10 +35,12 @@
         "outcome",
         "queue_delay_ms",
         "parts",
+        "quota_token",
         "overdue_timer",
         "reply",
         "request",
         "request_id",
+        "retry_after_ms",
         "route",
         "sent_at_ms",
         "service",
@@ -76,12 +78,16 @@
         self.tried: tuple[str, ...] = ()
         """The instances that the request was sent to, in order."""
 
+        self.quota_token: quotas.Token | None = None
+        self.retry_after_ms: float | None = None
+        """Time until tokens are expected, for a request that the quota refuses."""
+
         self.sent_at_ms = 0.0
         self.cancel_attempt: Callable[[], None] | None = None
         self.overdue_timer = _overdue_timer.OverdueTimer(parts)
 
     def start(self) -> None:
-        """Make the first attempt, unless the route's throttle refuses the request."""
+        """Make the first attempt, unless the throttle or the quota refuses it."""
         self.parts.state.requests_under_way += 1
         if not self.parts.can_finish_request(self.service, self.route, self.deadline):
             self.finish(calls.make_refusal(_Code.DRAINING))
@@ -90,9 +96,23 @@
             self.parts.throttles.refused += 1
             self.finish(calls.make_refusal(_Code.OVERLOADED_DOWNSTREAM))
             return
+        drop = self.parts.quota.acquire(
+            self.request.team, self.request_id, self.admitted, self.refused
+        )
+        if drop is not None:
+            self.cancel_attempt = drop
+
+    def admitted(self, token: quotas.Token | None) -> None:
+        """Make the first attempt, with the token that the request has used."""
+        self.cancel_attempt, self.quota_token = None, token
         self.parts.budget.record_request(self.service)
         self.attempt()
 
+    def refused(self, retry_after_ms: float) -> None:
+        """Refuse the request for its team's quota."""
+        self.cancel_attempt, self.retry_after_ms = None, retry_after_ms
+        self.finish(calls.make_refusal(_Code.QUOTA_EXCEEDED))
+
     def attempt(self, may_repeat: bool = True) -> None:
         """Choose an instance and send the request to it.
 
@@ -205,7 +225,11 @@
         if answer.outcome is codes.Outcome.NOT_RUN and self.failed_answer is not None:
             # The retry did not run, but an earlier attempt did.
             answer = self.failed_answer
-        edge_reply = _replies.render_answer(answer, self.parts.random)
+        if answer.outcome is codes.Outcome.NOT_RUN and self.quota_token is not None:
+            self.parts.quota.give_back(self.quota_token)
+        edge_reply = _replies.render_answer(
+            answer, self.parts.random, self.retry_after_ms
+        )
         _request_end.report_end(
             self.parts, self.throttle, self.summarize(), answer, edge_reply.status
         )
--- a/src/jujubetiller/mesh/_instance_directory.py
+++ b/src/jujubetiller/mesh/_instance_directory.py
@@ -72,6 +72,9 @@
         self.node_count = 0
         """Number of VMs that have an instance, each with its node."""
 
+        self.refreshes = 0
+        """Increases when the list, or what of it is used, may have changed."""
+
     def apply(self, items: list[published.PublishedItem]) -> None:
         """Apply the items that describe instances."""
         names = {item.key: self.decoder.instance_name(item.key) for item in items}
@@ -158,6 +161,23 @@
                 hosts.setdefault(instance.zone, set()).add(instance.address.host)
         return hosts
 
+    def find_listed_hosts(self, own_host: str) -> tuple[frozenset[str], bool]:
+        """Return all hosts that are listed, and whether ``own_host`` is among them.
+
+        The hosts include those of unknown services, and those whose removal is not
+        final. The second result is false if all entries of ``own_host`` were removed,
+        final or not: other nodes may already know that the removal is final.
+        """
+        hosts = frozenset(
+            listed.instance.address.host for listed in self.listed.values()
+        )
+        is_listed = any(
+            listed.instance.address.host == own_host
+            and name not in self.pending_removals
+            for name, listed in self.listed.items()
+        )
+        return hosts, is_listed
+
     def service_peers(self, service: str) -> list[settings.Address]:
         """Return the addresses of the other nodes beside instances of ``service``."""
         hosts = {
@@ -227,6 +247,7 @@
 
     def refresh(self) -> None:
         """Update the own instance, the service count and the router from the list."""
+        self.refreshes += 1
         usable = self.usable()
         self._mark_replaced(usable)
         self.own = None
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -27,6 +27,7 @@
     _mesh_counters,
     _peer_calls,
     _peer_prober,
+    _quota_exchange,
     _service_peers,
     _state_exchange,
     _state_merge,
@@ -106,6 +107,9 @@
             _state_merge.StateMerge(self.state, self.source, self.store_stability),
             self.own_peer_address,
         )
+        self.parts.quota = _quota_exchange.QuotaExchange(
+            self.parts, self.exchange, self.boot_id
+        )
         self.reading = _store_reading.StoreReading(
             self.parts, self.source, self.exchange
         )
@@ -158,6 +162,7 @@
             self.listen(name, site)
         self.reading.start()
         self.crash_exchange.start()
+        self.parts.quota.start()
         self.run_housekeeping()
         _LOG.info(
             "started",
@@ -217,6 +222,7 @@
             self.applied_version = self.parts.configuration.version
             self.parts.directory.refresh()
             self.apply_bounds()
+        self.parts.quota.apply()
         own = self.parts.directory.own
         if own is None:
             return
@@ -286,3 +292,4 @@
         """Read the store no more, and ask no other node."""
         self.reading.stop()
         self.crash_exchange.stop()
+        self.parts.quota.stop()
--- a/src/jujubetiller/mesh/_mesh_parts.py
+++ b/src/jujubetiller/mesh/_mesh_parts.py
@@ -13,6 +13,7 @@
     limits,
     metrics,
     notices,
+    published,
     routes,
     routing,
     settings,
@@ -28,7 +29,7 @@
 )
 
 if TYPE_CHECKING:
-    from jujubetiller.mesh import _peer_prober
+    from jujubetiller.mesh import _peer_prober, _quota_exchange
 
 
 FINISH_FACTOR = 3.0
@@ -39,7 +40,8 @@
 class MeshParts:
     """The components of one node.
 
-    ``prober`` is set by the node's constructor, ``pool`` when the node starts.
+    ``prober`` and ``quota`` are set by the node's constructor, ``pool`` when the node
+    starts.
     """
 
     reactor: Any
@@ -62,8 +64,10 @@
     delays: congestion.PeakDelay
     callers: congestion.CallerShares
     throttles: congestion.Throttles
+    state_age: published.StateAge
     pool: streams.StreamPool = attrs.field(init=False)
     prober: "_peer_prober.PeerProber" = attrs.field(init=False)
+    quota: "_quota_exchange.QuotaExchange" = attrs.field(init=False)
 
     def can_finish(self, needed_ms: float) -> bool:
         """Return whether a call that needs ``needed_ms`` ends before the node stops."""
--- a/src/jujubetiller/mesh/_peer_calls.py
+++ b/src/jujubetiller/mesh/_peer_calls.py
@@ -6,6 +6,7 @@
 from jujubetiller.mesh import (
     _ingress_call,
     _mesh_parts,
+    _quota_exchange,
     _state_exchange,
     _state_pusher,
     _store_reading,
@@ -55,6 +56,8 @@
             reply(self.crash_exchange.answer(request))
         elif request.path == _state_pusher.PATH:
             reply(self.reading.pusher.receive(request))
+        elif request.path == _quota_exchange.PATH:
+            self.parts.quota.receive(request, reply)
         else:
             self.reading.answer(request, reply)
 
--- a/src/jujubetiller/mesh/_replies.py
+++ b/src/jujubetiller/mesh/_replies.py
@@ -20,32 +20,40 @@
 
 _TEXT_TYPE = ("Content-Type", "text/plain; charset=utf-8")
 _RETRY_STATUS = 503
+_RETRY_STATUSES = (_RETRY_STATUS, 429)
 
 
 def render_answer(
-    answer: calls.CallAnswer, random_source: random.Random
+    answer: calls.CallAnswer,
+    random_source: random.Random,
+    retry_after_ms: float | None = None,
 ) -> edge.EdgeReply:
-    """Return the reply to a client for ``answer``."""
+    """Return the reply to a client for ``answer``; see ``render_refusal``."""
     if answer.outcome is codes.Outcome.ANSWERED:
         return edge.EdgeReply(answer.status, list(answer.headers), answer.body)
-    return render_refusal(answer.code, "", random_source)
+    return render_refusal(answer.code, "", random_source, retry_after_ms)
 
 
 def render_refusal(
-    code: codes.ResultCode, detail: str, random_source: random.Random
+    code: codes.ResultCode,
+    detail: str,
+    random_source: random.Random,
+    retry_after_ms: float | None = None,
 ) -> edge.EdgeReply:
     """Return the node's own reply to a request that has no response of a target.
 
     Every refusal of a request that did not run and may be sent again has the same
-    status, with a ``Retry-After`` header.
+    status, with a ``Retry-After`` header. A refusal for a quota keeps its own status;
+    its client is told to wait ``retry_after_ms``, and a random time more.
     """
     entry = codes.describe(code)
     status = entry.http_status
     if entry.outcome is _NOT_RUN and status >= 499:
         status = _RETRY_STATUS
     headers = [_TEXT_TYPE, ("Jujubetiller-Code", str(code.value))]
-    if status == _RETRY_STATUS and entry.outcome is _NOT_RUN:
-        pause_ms = MIN_RETRY_AFTER_MS + RETRY_AFTER_SPREAD_MS * random_source.random()
+    if status in _RETRY_STATUSES and entry.outcome is _NOT_RUN:
+        pause_ms = max(MIN_RETRY_AFTER_MS, retry_after_ms or 0.0)
+        pause_ms += RETRY_AFTER_SPREAD_MS * random_source.random()
         if code is codes.ResultCode.RATE_LIMITED:
             pause_ms *= RATE_LIMITED_PAUSE_FACTOR
         if code is codes.ResultCode.REQUEST_CRASHES_TARGETS:
--- a/src/jujubetiller/quotas/_coordinator_choice.py
+++ b/src/jujubetiller/quotas/_coordinator_choice.py
@@ -22,7 +22,7 @@
 
     def set_nodes(self, zones: Mapping[str, Set[str]]) -> None:
         """Set the hosts of all nodes by zone."""
-        if zones == self.known:
+        if zones is self.known or zones == self.known:
             return
         self.known = zones
         self.zones = {
--- a/src/jujubetiller/quotas/_fleet_share.py
+++ b/src/jujubetiller/quotas/_fleet_share.py
@@ -46,9 +46,9 @@
         now_ms = self.clock.now_ms()
         has_lapsed = now_ms - self.as_of_ms >= _team_limit.LISTED_MS
         self.as_of_ms = max(self.as_of_ms, as_of_ms)
-        if hosts != self.hosts:
+        if hosts is not self.hosts and hosts != self.hosts:
             # Additions count before removals: their order within an update is unknown.
-            largest = max(len(self.hosts | hosts), len(self.hosts))
+            largest = len(self.hosts | hosts)
             self._add_former(now_ms, largest)
             self.hosts = hosts
         if not is_listed:
--- a/src/jujubetiller/quotas/_quota_rounds.py
+++ b/src/jujubetiller/quotas/_quota_rounds.py
@@ -52,6 +52,12 @@
     admitted: Callable[[_token_lots.Token | None], None]
     refused: Callable[[Refusal], None]
     cancel_timer: Callable[[], None]
+    is_over: bool = False
+
+    def end(self) -> None:
+        """Wait no more."""
+        self.is_over = True
+        self.cancel_timer()
 
 
 class QuotaRounds:
@@ -144,33 +150,35 @@
         team: str,
         admitted: Callable[[_token_lots.Token | None], None],
         refused: Callable[[Refusal], None],
-    ) -> Callable[[], None]:
+    ) -> Callable[[], None] | None:
         """Admit a request of ``team`` now or within ``WAIT_MS``, or refuse it.
 
         ``admitted`` gets the token, or None if the team has no limit. The result
-        drops a request that waits, and does nothing otherwise.
+        drops a request that waits, and is None if it does not wait.
         """
         if team not in self.node.limits:
             admitted(None)
-            return _do_nothing
+            return None
         self.node.record_request(team)
         queue = self.waiting.get(team)
         token = None if queue else self.node.try_acquire(team)
         if token is not None:
             self.counters.used += 1
             admitted(token)
-            return _do_nothing
+            return None
         is_full = queue is not None and len(queue) >= MAX_WAITING
         self.counters.over_bound += is_full
         if is_full or self.node.is_empty(team):
             self._refuse(team, refused)
-            return _do_nothing
+            return None
         waiting = _Waiting(admitted, refused, _do_nothing)
         waiting.cancel_timer = self.transport.call_later(
             WAIT_MS, functools.partial(self._end_wait, team, waiting)
         )
         self.waiting.setdefault(team, collections.deque()).append(waiting)
         self._ask_now(team)
+        if waiting.is_over:
+            return None
         return functools.partial(self._drop, team, waiting)
 
     def give_back(self, token: _token_lots.Token) -> None:
@@ -351,7 +359,7 @@
         self._admit_waiting(team)
         if self.node.is_empty(team):
             for waiting in self.waiting.pop(team, ()):
-                waiting.cancel_timer()
+                waiting.end()
                 self._refuse(team, waiting.refused)
         self._ask_now(team)
 
@@ -362,7 +370,7 @@
             if token is None:
                 return
             waiting = queue.popleft()
-            waiting.cancel_timer()
+            waiting.end()
             self.counters.used += 1
             waiting.admitted(token)
         self.waiting.pop(team, None)
@@ -370,7 +378,7 @@
     def _admit_all(self, team: str) -> None:
         """Admit the requests of a team whose limit was removed while they waited."""
         for waiting in self.waiting.pop(team, ()):
-            waiting.cancel_timer()
+            waiting.end()
             waiting.admitted(None)
 
     def _end_wait(self, team: str, waiting: _Waiting) -> None:
@@ -378,7 +386,7 @@
         self._refuse(team, waiting.refused)
 
     def _drop(self, team: str, waiting: _Waiting) -> None:
-        waiting.cancel_timer()
+        waiting.end()
         queue = self.waiting.get(team)
         if queue is not None and waiting in queue:
             queue.remove(waiting)
--- a/tests/quotas/fleet_simulation.py
+++ b/tests/quotas/fleet_simulation.py
@@ -139,6 +139,8 @@
         self.admitted: dict[str, list[float]] = collections.defaultdict(list)
         self.refused: collections.Counter[str] = collections.Counter()
         self.messages = 0
+        self.highest_share_sum = 0.0
+        """The highest sum seen of the shares that all processes may use at a time."""
 
     def after(self, delay_ms: float, function: Callable[[], None]) -> None:
         heapq.heappush(
@@ -152,6 +154,16 @@
             function()
         self.now_ms = end_ms
 
+    def watch_shares(self) -> None:
+        """Record the sum of the shares in use, now and every 20 ms."""
+        in_use = 0.0
+        for process in self.processes.values():
+            now_ms = process.clock.now_ms()
+            entries = process.rounds.coordinator.delegations.entries.values()
+            in_use += sum(entry.share for entry in entries if entry.until_ms > now_ms)
+        self.highest_share_sum = max(self.highest_share_sum, in_use)
+        self.after(20.0, self.watch_shares)
+
     def reaches_store(self, host: str) -> bool:
         return self.side.get(host, 0) == 0
 
--- a/tests/quotas/test_bound.py
+++ b/tests/quotas/test_bound.py
@@ -129,6 +129,7 @@
     seed: int, nodes: int, steps: list[tuple[str, int]]
 ) -> None:
     trial = Trial(seed, nodes)
+    trial.fleet.watch_shares()
     trial.fleet.run_for(5_000.0)
     for step, pause_ms in steps:
         trial.play(step)
@@ -137,3 +138,4 @@
         trial.fleet.run_for(float(pause_ms))
     trial.fleet.run_for(3_000.0)
     assert not trial.fleet.find_excess()
+    assert trial.fleet.highest_share_sum <= 1.0 + 1e-9
