--- a/tests/quotas/fleet_simulation.py
+++ b/bench/quota_fleet.py
@@ -1,12 +1,14 @@
 """Nodes with quotas in memory: a store, a network with faults, and skewed clocks."""
 
 import collections
+import functools
 import heapq
 import itertools
 import random
 from collections.abc import Callable
 
 from jujubetiller import clock, quotas, settings
+from jujubetiller.mesh import _quota_message
 
 IN_ZONE_MS = 0.2
 BETWEEN_ZONES_MS = 1.4
@@ -70,6 +72,8 @@
         answered: Callable[[quotas.Answer | None], None],
     ) -> None:
         self.fleet.messages += 1
+        if self.fleet.counts_bytes:
+            self.fleet.bytes += len(_quota_message.encode_question(question))
 
         def receive() -> None:
             peer = self.fleet.processes.get(host)
@@ -77,6 +81,8 @@
                 peer.run(lambda: peer.rounds.receive(question, reply))
 
         def reply(answer: quotas.Answer) -> None:
+            if self.fleet.counts_bytes:
+                self.fleet.bytes += len(_quota_message.encode_answer(answer))
             self.fleet.deliver(self, host, lambda: self.run(lambda: answered(answer)))
 
         self.fleet.deliver(self, host, receive)
@@ -138,7 +144,8 @@
 
         self.admitted: dict[str, list[float]] = collections.defaultdict(list)
         self.refused: collections.Counter[str] = collections.Counter()
-        self.messages = 0
+        self.messages = self.bytes = 0
+        self.counts_bytes = False
         self.highest_share_sum = 0.0
         """The highest sum seen of the shares that all processes may use at a time."""
 
@@ -204,7 +211,7 @@
             self.bounds[team].append((self.now_ms, bound))
         for process in self.processes.values():
             delay_ms = self.random.uniform(0.0, CONFIGURATION_MS)
-            process.after(delay_ms, lambda process=process: self.configure(process))
+            process.after(delay_ms, functools.partial(self.configure, process))
 
     def configure(self, process: Process) -> None:
         limits = {
--- a/tests/quotas/test_bound.py
+++ b/tests/quotas/test_bound.py
@@ -3,7 +3,7 @@
 import hypothesis
 import hypothesis.strategies as st
 
-from tests.quotas import fleet_simulation
+from bench import quota_fleet
 
 ZONES = 3
 TEAMS = {"hot": (20.0, 10.0), "calm": (4.0, 0.0), "tight": (60.0, 200.0)}
@@ -33,7 +33,7 @@
     """A fleet with clients that send far above all limits, and faults."""
 
     def __init__(self, seed: int, nodes: int) -> None:
-        self.fleet = fleet_simulation.Fleet(seed, max_skew=0.01)
+        self.fleet = quota_fleet.Fleet(seed, max_skew=0.01)
         self.next_host = 0
         self.unlisted: list[str] = []
         self.fleet.publish(TEAMS)
--- a/tests/quotas/test_calm_fleet.py
+++ b/tests/quotas/test_calm_fleet.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from bench import quota_fleet
 from jujubetiller import quotas
-from tests.quotas import fleet_simulation
 
 ZONES = 4
 NODES = 69
@@ -12,9 +12,9 @@
 """Part of its rate that each team sends."""
 
 
-def make_fleet(seed: int) -> fleet_simulation.Fleet:
+def make_fleet(seed: int) -> quota_fleet.Fleet:
     """Return a fleet that has just started: team 0 has one client on one node."""
-    fleet = fleet_simulation.Fleet(seed, max_skew=0.01)
+    fleet = quota_fleet.Fleet(seed, max_skew=0.01)
     rates = [2.5, 5.0, *(4.0 + 0.4 * index for index in range(TEAMS - 3)), 120.0]
     fleet.publish({f"team-{i}": (rate, rate) for i, rate in enumerate(rates)})
     for index in range(NODES):
@@ -26,7 +26,7 @@
 
 
 def send(
-    fleet: fleet_simulation.Fleet, duration_ms: float, is_regular: bool
+    fleet: quota_fleet.Fleet, duration_ms: float, is_regular: bool
 ) -> tuple[int, int]:
     """Send from all teams, the small ones through one or two nodes.
 
