--- a/src/jujubetiller/quotas/_fleet_share.py
+++ b/src/jujubetiller/quotas/_fleet_share.py
@@ -6,6 +6,11 @@
 from jujubetiller import clock
 from jujubetiller.quotas import _team_limit
 
+FORMER_MS = 2.1 * _team_limit.LISTED_MS
+"""Time for which the size of a list counts after it was replaced. A node whose entry
+was removed and published again within a gap of its own knowledge has not noticed that;
+such a gap is shorter than ``LISTED_MS``."""
+
 MAX_SIZES = 1_024
 """Sizes of lists that are kept; when there are more, the largest are kept."""
 
@@ -13,7 +18,7 @@
 class FleetShare:
     """Derives ``1 / n`` from the lists of nodes that this node knew recently.
 
-    ``n`` is the largest number of nodes in a list known within ``LISTED_MS``. The share
+    ``n`` is the largest number of nodes in a list known within ``FORMER_MS``. The share
     is 0 for a node that has not been listed for ``LISTED_MS``, counted from when it
     first saw itself in a list to the time as of which it knows the list, and for one
     whose knowledge has been older than ``KNOWLEDGE_MS`` since then: in a longer gap,
@@ -66,7 +71,7 @@
             self.former.pop()
 
     def _share(self, now_ms: float) -> tuple[float, float]:
-        while self.former and now_ms - self.former[0][0] > _team_limit.LISTED_MS:
+        while self.former and now_ms - self.former[0][0] > FORMER_MS:
             self.former.popleft()
         ends_ms = self.as_of_ms + _team_limit.KNOWLEDGE_MS
         listed_ms = self.as_of_ms - self.listed_from_ms
--- a/tests/quotas/test_bound.py
+++ b/tests/quotas/test_bound.py
@@ -18,6 +18,7 @@
         "restart_all",
         "partition",
         "heal",
+        "flap",
         "freeze",
         "lose",
         "calm",
@@ -89,6 +90,16 @@
     def heal(self) -> None:
         self.fleet.side = {}
 
+    def flap(self) -> None:
+        """Remove the entry of a node that runs on, and publish it again."""
+        host = self.pick()
+        zone = self.fleet.listed.pop(host, None)
+        if zone is not None:
+            pause_ms = self.fleet.random.uniform(10.0, 3_000.0)
+            self.fleet.after(
+                pause_ms, lambda: self.fleet.listed.setdefault(host, zone) and None
+            )
+
     def freeze(self) -> None:
         process = self.fleet.processes.get(self.pick())
         if process is not None:
@@ -139,3 +150,25 @@
     trial.fleet.run_for(3_000.0)
     assert not trial.fleet.find_excess()
     assert trial.fleet.highest_share_sum <= 1.0 + 1e-9
+
+
+def test_nodes_that_are_cut_off_keep_no_stock() -> None:
+    """Others generate the same tokens once they are listed in their place."""
+    fleet = quota_fleet.Fleet(seed=11, max_skew=0.01)
+    fleet.watch_shares()
+    fleet.publish({"tight": TEAMS["tight"]})
+    for index in range(12):
+        fleet.listed[f"host-{index}"] = f"zone-{index % ZONES}"
+    for host, zone in list(fleet.listed.items()):
+        fleet.start(host, zone)
+    fleet.run_for(20_000.0)
+    for index in range(0, 12, ZONES):
+        del fleet.listed[f"host-{index}"]
+        fleet.side[f"host-{index}"] = 1
+    fleet.run_for(20_000.0)
+    hosts = list(fleet.processes)
+    fleet.send_steadily("tight", hosts, 1_000.0, fleet.now_ms + 5_000.0)
+    fleet.run_for(6_000.0)
+    assert not fleet.find_excess()
+    assert len(fleet.admitted["tight"]) > 0.8 * fleet.highest_bound("tight", 0.0, 1e9)
+    assert fleet.highest_share_sum <= 1.0 + 1e-9
