--- a/src/jujubetiller/quotas/_node_quota.py
+++ b/src/jujubetiller/quotas/_node_quota.py
@@ -52,6 +52,9 @@
         self.lowered: dict[str, int] = {}
         """Versions of the configuration that last lowered the limits of teams."""
 
+        self.expired_before = 0.0
+        """Expired tokens of teams that are no longer known."""
+
     def configure(
         self, limits: Mapping[str, _team_limit.TeamLimit], version: int
     ) -> list[str]:
@@ -68,7 +71,10 @@
         for team in lowered:
             if team in self.holdings:
                 self.holdings[team].lots.clear()
-        self.holdings = {t: h for t, h in self.holdings.items() if t in limits}
+        for team in [team for team in self.holdings if team not in limits]:
+            lots = self.holdings.pop(team).lots
+            lots.clear()
+            self.expired_before += lots.expired
         self.limits = dict(limits)
         self.version = version
         return lowered
@@ -156,7 +162,8 @@
 
     def count_expired(self) -> float:
         """Return how many granted tokens have expired without being used."""
-        return sum(holding.lots.expired for holding in self.holdings.values())
+        held = sum(holding.lots.expired for holding in self.holdings.values())
+        return self.expired_before + held
 
 
 def _decay(holding: _Holding, now_ms: float) -> float:
--- a/src/jujubetiller/quotas/_quota_rounds.py
+++ b/src/jujubetiller/quotas/_quota_rounds.py
@@ -132,6 +132,7 @@
         """Delegate the share, ask for tokens, and borrow from other zones."""
         if not self.node.limits:
             return
+        self.coordinator.advance()
         host = self.choice.first(self.zone)
         if host is None or host == self.own_host:
             self._use_own_share()
@@ -204,7 +205,8 @@
                 self.coordinator.record_demand(demand.team, demand.needed + extra)
                 if grant.amount < demand.needed:
                     missing[demand.team] = demand.needed - grant.amount
-            grants.append(grant)
+            if grant.amount:
+                grants.append(grant)
 
         def finish() -> None:
             for team, amount in missing.items():
--- a/tests/quotas/test_bound.py
+++ b/tests/quotas/test_bound.py
@@ -162,6 +162,10 @@
     for host, zone in list(fleet.listed.items()):
         fleet.start(host, zone)
     fleet.run_for(20_000.0)
+    for host in fleet.processes:
+        # Buckets are settled when they are used.
+        fleet.request(host, "tight")
+    fleet.run_for(100.0)
     for index in range(0, 12, ZONES):
         del fleet.listed[f"host-{index}"]
         fleet.side[f"host-{index}"] = 1
