--- a/src/jujubetiller/mesh/_build_parts.py
+++ b/src/jujubetiller/mesh/_build_parts.py
@@ -41,7 +41,7 @@
     boot_id: str,
     boot_clock: clock.Clock,
 ) -> _mesh_parts.MeshParts:
-    """Return the components of a node; ``pool`` and ``prober`` are not set yet."""
+    """Return the components of a node, without ``pool``, ``prober`` and ``quota``."""
     router = routing.LatencyWeightedRouter(
         time_source, random_source, node_settings.routing, node_settings.zone
     )
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -28,6 +28,7 @@
     _mesh_counters,
     _peer_calls,
     _peer_prober,
+    _quota_exchange,
     _service_peers,
     _state_exchange,
     _state_merge,
@@ -112,6 +113,9 @@
             ),
             self.own_peer_address,
         )
+        self.parts.quota = _quota_exchange.QuotaExchange(
+            self.parts, self.exchange, self.boot_id
+        )
         self.reading = _store_reading.StoreReading(
             self.parts, self.source, self.exchange
         )
@@ -165,6 +169,7 @@
             self.listen(name, site)
         self.reading.start()
         self.crash_exchange.start()
+        self.parts.quota.start()
         self.run_housekeeping()
         _LOG.info(
             "started",
@@ -225,6 +230,7 @@
             self.parts.directory.refresh()
             self.apply_bounds()
             self.class_order.apply()
+        self.parts.quota.apply()
         own = self.parts.directory.own
         if own is None:
             return
@@ -296,3 +302,4 @@
         """Read the store no more, and ask no other node."""
         self.reading.stop()
         self.crash_exchange.stop()
+        self.parts.quota.stop()
--- a/src/jujubetiller/mesh/_mesh_parts.py
+++ b/src/jujubetiller/mesh/_mesh_parts.py
@@ -30,7 +30,7 @@
 )
 
 if TYPE_CHECKING:
-    from jujubetiller.mesh import _peer_prober
+    from jujubetiller.mesh import _peer_prober, _quota_exchange
 
 
 FINISH_FACTOR = 3.0
@@ -41,7 +41,8 @@
 class MeshParts:
     """The components of one node.
 
-    ``prober`` is set by the node's constructor, ``pool`` when the node starts.
+    ``prober`` and ``quota`` are set by the node's constructor, ``pool`` when the node
+    starts.
     """
 
     reactor: Any
@@ -68,6 +69,7 @@
     keys: _key_check.KeyCheck
     pool: streams.StreamPool = attrs.field(init=False)
     prober: "_peer_prober.PeerProber" = attrs.field(init=False)
+    quota: "_quota_exchange.QuotaExchange" = attrs.field(init=False)
 
     def can_finish(self, needed_ms: float) -> bool:
         """Return whether a call that needs ``needed_ms`` ends before the node stops."""
