Ask a second node for waiting requests when the coordinator is silent

The parts of QuotaRounds that decide who uses a share, and the queue of requests, have their own files.

--- a/src/jujubetiller/mesh/_quota_exchange.py
+++ b/src/jujubetiller/mesh/_quota_exchange.py
@@ -116,7 +116,7 @@
                     "rate_per_s": round(refusal.rate_per_s, 3),
                     "asked": refusal.asked,
                     "granted": refusal.granted,
-                    "share": round(self.rounds.share, 5),
+                    "share": round(self.rounds.own_share.share, 5),
                     "share_age_ms": round(refusal.share_age_ms, 1),
                     "retry_after_ms": round(refusal.retry_after_ms, 1),
                 },
@@ -216,13 +216,13 @@
             "unanswered": float(counters.unanswered),
             "rejected": float(counters.rejected),
             "delegation_over_bound": float(self.rounds.coordinator.delegations.refused),
-            "knowledge_lapsed": float(self.rounds.fleet.lapses),
+            "knowledge_lapsed": float(self.rounds.own_share.fleet.lapses),
         }
 
     def _read_shares(self) -> Mapping[str, float]:
         delegations = self.rounds.coordinator.delegations
         return {
-            "own": self.rounds.share,
+            "own": self.rounds.own_share.share,
             "used": delegations.total,
             "senders": float(len(delegations.entries)),
             "teams": float(len(self.rounds.node.limits)),
--- a/src/jujubetiller/quotas/__init__.py
+++ b/src/jujubetiller/quotas/__init__.py
@@ -6,7 +6,8 @@
 from jujubetiller.quotas._messages import Answer, Delegation, Demand, Grant, Question
 from jujubetiller.quotas._node_quota import NodeQuota
 from jujubetiller.quotas._quota_counters import QuotaCounters
-from jujubetiller.quotas._quota_rounds import QuotaRounds, Refusal
+from jujubetiller.quotas._quota_rounds import QuotaRounds
+from jujubetiller.quotas._share_use import ShareUse
 from jujubetiller.quotas._team_limit import (
     DELEGATION_MS,
     KNOWLEDGE_MS,
@@ -19,6 +20,7 @@
 from jujubetiller.quotas._token_bucket import TokenBucket
 from jujubetiller.quotas._token_lots import Token, TokenLots
 from jujubetiller.quotas._transport import Transport
+from jujubetiller.quotas._waiting_requests import Refusal, WaitingRequests
 
 __all__ = [
     "DELEGATION_MS",
@@ -38,10 +40,12 @@
     "QuotaCounters",
     "QuotaRounds",
     "Refusal",
+    "ShareUse",
     "TeamLimit",
     "Token",
     "TokenBucket",
     "TokenLots",
     "Transport",
+    "WaitingRequests",
     "derive_limit",
 ]
--- a/src/jujubetiller/quotas/_coordinator_choice.py
+++ b/src/jujubetiller/quotas/_coordinator_choice.py
@@ -32,10 +32,15 @@
         hosts = {host for names in self.zones.values() for host in names}
         self.failed_at_ms = {h: t for h, t in self.failed_at_ms.items() if h in hosts}
 
-    def first(self, zone: str) -> str | None:
-        """Return the node to ask in ``zone``, or None if none answers."""
+    def first(self, zone: str, without: str | None = None) -> str | None:
+        """Return the node to ask in ``zone``, or None if none answers.
+
+        ``without`` is passed over.
+        """
         now_ms = self.clock.now_ms()
         for host in self.zones.get(zone, ()):
+            if host == without:
+                continue
             failed_at_ms = self.failed_at_ms.get(host)
             if failed_at_ms is None or now_ms - failed_at_ms >= PASSED_OVER_MS:
                 return host
--- a/src/jujubetiller/quotas/_quota_rounds.py
+++ b/src/jujubetiller/quotas/_quota_rounds.py
@@ -1,63 +1,31 @@
 """What a node asks and answers about tokens, in rounds and when a request waits."""
 
-import collections
 import functools
 import math
 import random
 from collections.abc import Callable, Mapping, Set
 
-import attrs
-
 from jujubetiller import clock
 from jujubetiller.quotas import (
     _borrowing,
     _coordinator,
     _coordinator_choice,
-    _fleet_share,
     _messages,
     _node_quota,
     _quota_counters,
+    _share_use,
     _team_limit,
     _token_lots,
     _transport,
+    _waiting_requests,
 )
 
-WAIT_MS = 100.0
-"""Time for which a request waits for a token."""
-
-MAX_WAITING = 1_024
-"""Requests of one team that wait for tokens."""
-
 ANSWER_MS = 400.0
 """A node that has not answered in this time is passed over for a while."""
 
-MAX_STAMP_AGE_MS = 1_000.0
-"""Bound on the time that a delegation counts on two clocks, see the design note."""
-
-
-@attrs.frozen
-class Refusal:
-    """Why a request got no token."""
-
-    team: str
-    retry_after_ms: float
-    rate_per_s: float
-    asked: float
-    granted: float
-    share_age_ms: float
-
-
-@attrs.define(eq=False)
-class _Waiting:
-    admitted: Callable[[_token_lots.Token | None], None]
-    refused: Callable[[Refusal], None]
-    cancel_timer: Callable[[], None]
-    is_over: bool = False
-
-    def end(self) -> None:
-        """Wait no more."""
-        self.is_over = True
-        self.cancel_timer()
+SECOND_ASKED_MS = 40.0
+"""Time after which another node is asked as well for requests that wait: the answer to
+a request that waits for other zones takes about 5 ms in calm."""
 
 
 class QuotaRounds:
@@ -77,8 +45,10 @@
         self.zone = zone
         self.boot = random_source.getrandbits(32)
         self.counters = _quota_counters.QuotaCounters()
-        self.fleet = _fleet_share.FleetShare(boot_clock)
         self.coordinator = _coordinator.Coordinator(boot_clock)
+        self.own_share = _share_use.ShareUse(
+            boot_clock, self.coordinator, own_host, self.boot
+        )
         self.node = _node_quota.NodeQuota(boot_clock)
         self.choice = _coordinator_choice.CoordinatorChoice(boot_clock)
         self.borrowing = _borrowing.Borrowing(
@@ -92,14 +62,7 @@
             self.counters,
         )
         self.number = 0
-        self.share = 0.0
-        self.share_ends_ms = -math.inf
-        self.delegated_to: str | None = None
-        self.delegated_until_ms = -math.inf
-        self.stamps: dict[str, tuple[int, float, float]] = {}
-        """The process, its stamp, and when the stamp arrived, by host."""
-
-        self.waiting: dict[str, collections.deque[_Waiting]] = {}
+        self.waiting = _waiting_requests.WaitingRequests(transport)
         self.asking: set[str] = set()
         """Teams for whose waiting requests a question is under way."""
 
@@ -125,8 +88,7 @@
         round, also without teams.
         """
         self.choice.set_nodes(zones)
-        self.share, self.share_ends_ms = self.fleet.update(hosts, is_listed, as_of_ms)
-        self.stamps = {h: s for h, s in self.stamps.items() if h in hosts}
+        self.own_share.update(hosts, is_listed, as_of_ms)
 
     def run_round(self) -> None:
         """Delegate the share, ask for tokens, and borrow from other zones."""
@@ -138,10 +100,10 @@
             self._use_own_share()
         else:
             wanted = self.node.list_wanted()
-            delegation = self._delegate(host)
+            delegation = self.own_share.delegate(host)
             if delegation is None:
                 self._use_own_share()
-            if self.share or wanted:
+            if self.own_share.share or wanted:
                 answered = functools.partial(self._round_answered, host)
                 self._ask(host, wanted, answered, delegation)
         self.borrowing.borrow_for_round()
@@ -150,9 +112,9 @@
         self,
         team: str,
         admitted: Callable[[_token_lots.Token | None], None],
-        refused: Callable[[Refusal], None],
+        refused: Callable[[_waiting_requests.Refusal], None],
     ) -> Callable[[], None] | None:
-        """Admit a request of ``team`` now or within ``WAIT_MS``, or refuse it.
+        """Admit a request of ``team`` now or within 100 ms, or refuse it.
 
         ``admitted`` gets the token, or None if the team has no limit. The result
         drops a request that waits, and is None if it does not wait.
@@ -161,26 +123,22 @@
             admitted(None)
             return None
         self.node.record_request(team)
-        queue = self.waiting.get(team)
-        token = None if queue else self.node.try_acquire(team)
+        count = self.waiting.count(team)
+        token = None if count else self.node.try_acquire(team)
         if token is not None:
             self.counters.used += 1
             admitted(token)
             return None
-        is_full = queue is not None and len(queue) >= MAX_WAITING
+        is_full = count >= _waiting_requests.MAX_WAITING
         self.counters.over_bound += is_full
         if is_full or self.node.is_empty(team):
             self._refuse(team, refused)
             return None
-        waiting = _Waiting(admitted, refused, _do_nothing)
-        waiting.cancel_timer = self.transport.call_later(
-            WAIT_MS, functools.partial(self._end_wait, team, waiting)
+        waiting = self.waiting.add(
+            team, admitted, refused, lambda ended: self._refuse(team, ended.refused)
         )
-        self.waiting.setdefault(team, collections.deque()).append(waiting)
         self._ask_now(team)
-        if waiting.is_over:
-            return None
-        return functools.partial(self._drop, team, waiting)
+        return None if waiting.is_over else self.waiting.make_drop(team, waiting)
 
     def give_back(self, token: _token_lots.Token) -> None:
         """Return the token of a request that has not run, with its expiry."""
@@ -192,7 +150,7 @@
         reply: Callable[[_messages.Answer], None],
     ) -> None:
         """Answer a question; one of the own zone may wait for other zones."""
-        self._record_delegation(question)
+        self.own_share.accept(question)
         grants: list[_messages.Grant] = []
         missing: dict[str, float] = {}
         for demand in question.demands:
@@ -236,43 +194,8 @@
         return grant
 
     def _use_own_share(self) -> None:
-        if self.share and self.clock.now_ms() >= self.delegated_until_ms:
-            self.number += 1
-            self.coordinator.record_share(
-                (self.own_host, self.boot), self.number, self.share, self.share_ends_ms
-            )
-
-    def _delegate(self, host: str) -> _messages.Delegation | None:
-        """Delegate the share to ``host``, unless another one may still use it."""
-        now_ms = self.clock.now_ms()
-        stamp = self.stamps.get(host)
-        is_free = host == self.delegated_to or now_ms >= self.delegated_until_ms
-        valid_ms = min(_team_limit.DELEGATION_MS, self.share_ends_ms - now_ms)
-        if stamp is None or not is_free or not self.share or valid_ms <= 0.0:
-            return None
-        boot, stamp_ms, arrived_at_ms = stamp
-        life_ms = valid_ms + min(now_ms - arrived_at_ms, MAX_STAMP_AGE_MS)
-        self.delegated_to = host
-        self.delegated_until_ms = max(
-            self.delegated_until_ms,
-            now_ms + valid_ms + _team_limit.CLOCK_MARGIN * life_ms,
-        )
-        self.coordinator.remove_share((self.own_host, self.boot))
-        return _messages.Delegation(self.share, stamp_ms, boot, life_ms)
-
-    def _record_delegation(self, question: _messages.Question) -> None:
-        delegation = question.delegation
-        if delegation is None or delegation.stamp_boot != self.boot:
-            return
-        if delegation.stamp_ms > self.clock.now_ms():
-            return
-        life_ms = min(delegation.life_ms, _team_limit.DELEGATION_MS + MAX_STAMP_AGE_MS)
-        self.coordinator.record_share(
-            (question.sender, question.boot),
-            question.number,
-            delegation.share,
-            delegation.stamp_ms + life_ms,
-        )
+        self.number += 1
+        self.own_share.use_own(self.number)
 
     def _ask(
         self,
@@ -305,8 +228,7 @@
                 self.choice.record_failure(host)
             else:
                 self.choice.record_answer(host)
-                stamp = answer.boot, answer.stamp_ms, self.clock.now_ms()
-                self.stamps[host] = stamp
+                self.own_share.record_stamp(host, answer)
             callback.pop()(answer, sent_ms)
 
         cancel = self.transport.call_later(ANSWER_MS, lambda: end(None))
@@ -331,16 +253,33 @@
 
     def _ask_now(self, team: str) -> None:
         """Ask for tokens for the requests of ``team`` that wait."""
-        queue = self.waiting.get(team)
-        if team in self.asking or not queue:
+        count = self.waiting.count(team)
+        if team in self.asking or not count:
             return
         self.asking.add(team)
         host = self.choice.first(self.zone) or self.own_host
         if host == self.own_host:
             self._use_own_share()
-        needed = float(len(queue))
+        needed = float(count)
         demand = _messages.Demand(team, needed, 0.0)
-        self._ask(host, (demand,), functools.partial(self._asked, team, needed))
+        cancel = self.transport.call_later(
+            SECOND_ASKED_MS, functools.partial(self._ask_second, team, host)
+        )
+
+        def asked(answer: _messages.Answer | None, sent_ms: float) -> None:
+            cancel()
+            self._asked(team, needed, answer, sent_ms)
+
+        self._ask(host, (demand,), asked)
+
+    def _ask_second(self, team: str, silent: str) -> None:
+        """Ask another node for the requests that wait for the answer of ``silent``."""
+        count = self.waiting.count(team)
+        host = self.choice.first(self.zone, without=silent)
+        if count and host is not None:
+            demand = _messages.Demand(team, float(count), 0.0)
+            answered = functools.partial(self._round_answered, host)
+            self._ask(host, (demand,), answered)
 
     def _asked(
         self,
@@ -351,7 +290,9 @@
     ) -> None:
         self.asking.discard(team)
         if team not in self.node.limits:
-            self._admit_all(team)
+            # The limit was removed while they waited.
+            for waiting in self.waiting.pop_all(team):
+                waiting.admitted(None)
             return
         if answer is not None:
             added = self._add_grants(answer, sent_ms)
@@ -360,56 +301,31 @@
                 self.node.record_shortage(team, needed, added, max(waits, default=0.0))
         self._admit_waiting(team)
         if self.node.is_empty(team):
-            for waiting in self.waiting.pop(team, ()):
-                waiting.end()
+            for waiting in self.waiting.pop_all(team):
                 self._refuse(team, waiting.refused)
         self._ask_now(team)
 
     def _admit_waiting(self, team: str) -> None:
-        queue = self.waiting.get(team)
-        while queue:
+        while self.waiting.count(team):
             token = self.node.try_acquire(team)
             if token is None:
                 return
-            waiting = queue.popleft()
-            waiting.end()
             self.counters.used += 1
-            waiting.admitted(token)
-        self.waiting.pop(team, None)
-
-    def _admit_all(self, team: str) -> None:
-        """Admit the requests of a team whose limit was removed while they waited."""
-        for waiting in self.waiting.pop(team, ()):
-            waiting.end()
-            waiting.admitted(None)
-
-    def _end_wait(self, team: str, waiting: _Waiting) -> None:
-        self._drop(team, waiting)
-        self._refuse(team, waiting.refused)
+            self.waiting.pop(team).admitted(token)
 
-    def _drop(self, team: str, waiting: _Waiting) -> None:
-        waiting.end()
-        queue = self.waiting.get(team)
-        if queue is not None and waiting in queue:
-            queue.remove(waiting)
-            if not queue:
-                del self.waiting[team]
-
-    def _refuse(self, team: str, refused: Callable[[Refusal], None]) -> None:
+    def _refuse(
+        self, team: str, refused: Callable[[_waiting_requests.Refusal], None]
+    ) -> None:
         self.counters.refused += 1
         holding = self.node.holding(team)
         limit = self.node.limits.get(team)
         refused(
-            Refusal(
+            _waiting_requests.Refusal(
                 team,
                 self.node.retry_after_ms(team),
                 0.0 if limit is None else limit.rate_per_ms * 1000.0,
                 holding.asked,
                 holding.granted,
-                self.clock.now_ms() - self.fleet.as_of_ms,
+                self.clock.now_ms() - self.own_share.fleet.as_of_ms,
             )
         )
-
-
-def _do_nothing() -> None:
-    """Do nothing; nothing waits."""
--- a/tests/mesh/test_quotas.py
+++ b/tests/mesh/test_quotas.py
@@ -143,7 +143,7 @@
     question = _quota_message.decode_question(mesh.pool.calls[-1].request.body).unwrap()
     assert question.demands == (quotas.Demand(TEAM, 1.0, 0.0),)
     mesh.cancel()
-    assert not rounds.waiting
+    assert not rounds.waiting.queues
     assert mesh.parts.state.requests_under_way == 0
     answer_question(mesh, amount=1.0)
     assert len(mesh.pool.calls) == 1
--- a/tests/quotas/test_parts.py
+++ b/tests/quotas/test_parts.py
@@ -232,3 +232,36 @@
     assert rounds.coordinator.delegations.total == 0.0
     play({"z": {"a"}}, 100.0)
     assert rounds.coordinator.delegations.total == 0.5
+
+
+@pytest.mark.parametrize(
+    ("age_ms", "valid_ms"), [(200.0, quotas.DELEGATION_MS), (2_300.0, 200.0)]
+)
+def test_a_delegation_ends_with_the_knowledge_of_its_lender(
+    age_ms: float, valid_ms: float
+) -> None:
+    """The share of a node that was removed would be used for longer than it counts."""
+    manual_clock = clock.ManualClock(100_000.0)
+    coordinator = quotas.Coordinator(manual_clock)
+    use = quotas.ShareUse(manual_clock, coordinator, "a", 1)
+    pass_time(manual_clock, use.fleet, 4_000.0)
+    as_of_ms = manual_clock.now_ms() - 200.0
+    use.record_stamp("b", quotas.Answer(1, 9, 50.0, 1, ()))
+    manual_clock.advance(age_ms - 200.0)
+    use.record_stamp("b", quotas.Answer(2, 9, 777.0, 1, ()))
+    use.update(HOSTS, True, as_of_ms)
+    assert use.delegate("b") == quotas.Delegation(0.5, 777.0, 9, valid_ms)
+
+
+def test_a_stamp_of_a_former_process_or_of_the_future_is_not_used() -> None:
+    """Its clock may have another start, so that the share would last for too long."""
+    manual_clock = clock.ManualClock(1_000.0)
+    coordinator = quotas.Coordinator(manual_clock)
+    use = quotas.ShareUse(manual_clock, coordinator, "b", 9)
+    for stamp_ms, boot, total in ((900.0, 8, 0.0), (1_001.0, 9, 0.0), (900.0, 9, 0.5)):
+        delegation = quotas.Delegation(0.5, stamp_ms, boot, 1e9)
+        use.accept(quotas.Question("a", 1, 1, 1, False, delegation, ()))
+        assert coordinator.delegations.total == total
+    manual_clock.advance(2_500.0)
+    coordinator.advance()
+    assert coordinator.delegations.total == 0.0, "a life has a bound"
