--- a/src/jujubetiller/quotas/_quota_rounds.py
+++ b/src/jujubetiller/quotas/_quota_rounds.py
@@ -1,12 +1,12 @@
 """What a node asks and answers about tokens, in rounds and when a request waits."""
 
 import functools
-import math
 import random
 from collections.abc import Callable, Mapping, Set
 
 from jujubetiller import clock
 from jujubetiller.quotas import (
+    _answering,
     _borrowing,
     _coordinator,
     _coordinator_choice,
@@ -61,6 +61,9 @@
             functools.partial(self._ask, is_from_zone=True),
             self.counters,
         )
+        self.answering = _answering.Answering(
+            self.coordinator, self.own_share, self.borrowing, self.node, self.counters
+        )
         self.number = 0
         self.waiting = _waiting_requests.WaitingRequests(transport)
         self.asking: set[str] = set()
@@ -149,49 +152,8 @@
         question: _messages.Question,
         reply: Callable[[_messages.Answer], None],
     ) -> None:
-        """Answer a question; one of the own zone may wait for other zones."""
-        self.own_share.accept(question)
-        grants: list[_messages.Grant] = []
-        missing: dict[str, float] = {}
-        for demand in question.demands:
-            if question.is_from_zone:
-                grant = self.coordinator.grant_to_zone(demand)
-                self.counters.granted_to_zones += grant.amount
-            else:
-                grant = self._grant_to_node(demand)
-                extra = max(0.0, grant.amount - demand.needed)
-                self.coordinator.record_demand(demand.team, demand.needed + extra)
-                if grant.amount < demand.needed:
-                    missing[demand.team] = demand.needed - grant.amount
-            if grant.amount:
-                grants.append(grant)
-
-        def finish() -> None:
-            for team, amount in missing.items():
-                grants.append(self._grant_to_node(_messages.Demand(team, amount, 0.0)))
-            reply(
-                _messages.Answer(
-                    question.number,
-                    self.boot,
-                    self.clock.now_ms(),
-                    self.node.version,
-                    tuple(grants),
-                )
-            )
-
-        if not missing:
-            finish()
-            return
-        lacking = {
-            team: math.ceil(amount) - self.coordinator.stock(team)
-            for team, amount in missing.items()
-        }
-        self.borrowing.borrow(lacking, finish)
-
-    def _grant_to_node(self, demand: _messages.Demand) -> _messages.Grant:
-        grant = self.coordinator.grant_to_node(demand)
-        self.counters.granted_to_nodes += grant.amount
-        return grant
+        """Answer a question, see ``Answering.receive``."""
+        self.answering.receive(question, reply)
 
     def _use_own_share(self) -> None:
         self.number += 1
--- a/src/jujubetiller/quotas/_team_limit.py
+++ b/src/jujubetiller/quotas/_team_limit.py
@@ -50,7 +50,7 @@
     bound leaves beside generation; the rate is lowered if that is less than a token.
 
     >>> derive_limit(100.0, 40.0, settings.QuotaSettings())
-    TeamLimit(rate_per_ms=0.1, depth=85.5)
+    TeamLimit(rate_per_ms=0.1, depth=85.475)
     """
     window_s = quota.window_ms / 1000.0
     bound = (rate_per_s * window_s + burst) * (1.0 + quota.overshoot) + quota.slack
