Repeat failed reads sooner only while keys can still be kept current

Cause: with proofs asked for, failed reads were repeated every 0.4 s for as long as the store was down, and each costs. Change: the shorter pause ends 5 s after the own latest proof.

--- a/src/jujubetiller/platform/_settings.py
+++ b/src/jujubetiller/platform/_settings.py
@@ -50,10 +50,6 @@
 second. With the time between two questions of a node, its knowledge stays younger than
 2 s."""
 
-PROOF_LONGEST_PAUSE_MS = 400
-"""Longest pause between failed reads if knowledge must stay young: an outage of the
-store for 3 s is to refuse no request with a key, which leaves 0.75 s after it."""
-
 MIN_PRIMARY_WAIT_MS = 500
 """A primary reader that waited less would cost too many reads."""
 
@@ -135,16 +131,11 @@
     value_bytes = _fields.read_integer(
         document, "value_bytes", 1, default=store.max_value_bytes
     )
-    proof_interval_ms = _find_proof_interval_ms(bounds)
-    longest_pause_ms = store.longest_pause_ms
-    if proof_interval_ms is not None:
-        longest_pause_ms = PROOF_LONGEST_PAUSE_MS
     return attrs.evolve(
         store,
-        longest_pause_ms=longest_pause_ms,
         max_value_bytes=value_bytes,
         primary_wait_ms=_find_primary_wait_ms(bounds, store.watch_answer_ms),
-        proof_interval_ms=proof_interval_ms,
+        proof_interval_ms=_find_proof_interval_ms(bounds),
     )
 
 
--- a/src/jujubetiller/platform/_store_reader.py
+++ b/src/jujubetiller/platform/_store_reader.py
@@ -172,7 +172,7 @@
             pause_ms = self._draw_pause_ms()
         else:
             self.freshness.record_failure(str(problem))
-            pause_ms = self.backoff.next_ms()
+            pause_ms = self.freshness.proofs.limit_retry_ms(self.backoff.next_ms())
         self.next_read = self.reactor.callLater(pause_ms / 1_000.0, self._read)
         if not self.is_watch_replaced:
             self.on_read_end()
