Ask for proofs also while the configuration has teams with a rate

Cause: tokens are generated only by nodes with young knowledge, and a deployment may have teams with rates and no quota_window in its settings. Change: the interval follows the configuration in force, decided in one place.

--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -28,6 +28,7 @@
     _mesh_counters,
     _peer_calls,
     _peer_prober,
+    _proof_interval,
     _service_peers,
     _state_exchange,
     _state_merge,
@@ -126,6 +127,7 @@
         )
         self.load_log = _load_log.LoadLog(self.parts)
         self.class_order = _class_order.ClassOrder(self.parts)
+        self.proof_interval = _proof_interval.ProofInterval(self.parts, self.reading)
         self.ports: dict[str, interfaces.IListeningPort] = {}
         self.peer_address = node_settings.listen.peer
         self.edges: dict[str, edge.EdgeFactory] = {}
@@ -225,6 +227,7 @@
             self.parts.directory.refresh()
             self.apply_bounds()
             self.class_order.apply()
+            self.proof_interval.apply()
         own = self.parts.directory.own
         if own is None:
             return
--- a/src/jujubetiller/platform/_settings.py
+++ b/src/jujubetiller/platform/_settings.py
@@ -6,7 +6,7 @@
 import attrs
 import result
 
-from jujubetiller import codes, schema, settings
+from jujubetiller import codes, published, schema, settings
 from jujubetiller.platform import _fields
 
 SETTINGS_VARIABLE = "JUJUBETILLER_CONFIG"
@@ -45,11 +45,6 @@
 
 MIN_EXCHANGE_MS = 200.0
 
-PROOF_INTERVAL_MS = 770
-"""Longest time between two proofs of a zone's primary reader, which costs 1.3 reads a
-second. With the time between two questions of a node, its knowledge stays younger than
-2 s."""
-
 MIN_PRIMARY_WAIT_MS = 500
 """A primary reader that waited less would cost too many reads."""
 
@@ -143,7 +138,7 @@
     """Return the interval of proofs if keys or quotas depend on their age."""
     is_strict = _fields.read(bounds, "strict_revoke", bool, False)
     has_quotas = bounds.get("quota_window") is not None
-    return PROOF_INTERVAL_MS if is_strict or has_quotas else None
+    return published.PROOF_INTERVAL_MS if is_strict or has_quotas else None
 
 
 def _find_primary_wait_ms(bounds: dict[str, Any], watch_answer_ms: int) -> int:
--- a/src/jujubetiller/platform/_store_reader.py
+++ b/src/jujubetiller/platform/_store_reader.py
@@ -106,6 +106,11 @@
         super().set_state_age(state_age)
         self.freshness.proofs.state_age = state_age
 
+    def set_proof_interval(self, interval_ms: int | None) -> None:
+        """Change how often proofs are due, if this is the primary reader."""
+        super().set_proof_interval(interval_ms)
+        self.freshness.proofs.interval_ms = interval_ms
+
     def set_primary(self, is_primary: bool) -> None:
         """Set whether the zone relies on this reader to notice silent connections.
 
--- a/src/jujubetiller/published/__init__.py
+++ b/src/jujubetiller/published/__init__.py
@@ -13,10 +13,11 @@
 from jujubetiller.published._state_age import StateAge
 from jujubetiller.published._store_freshness import StoreFreshness
 from jujubetiller.published._store_position import StorePosition
-from jujubetiller.published._store_proofs import StoreProofs
+from jujubetiller.published._store_proofs import PROOF_INTERVAL_MS, StoreProofs
 
 __all__ = [
     "MAX_NUMBER",
+    "PROOF_INTERVAL_MS",
     "Changes",
     "ItemDecoder",
     "ItemSource",
--- a/src/jujubetiller/published/_item_source.py
+++ b/src/jujubetiller/published/_item_source.py
@@ -19,6 +19,7 @@
     is_primary: bool = False
 
     state_age: _state_age.StateAge | None = None
+    proof_interval_ms: int | None = None
 
     @abc.abstractmethod
     def start(self) -> None:
@@ -39,6 +40,13 @@
         """Set where to record as of when reads have proven the state of the store."""
         self.state_age = state_age
 
+    def set_proof_interval(self, interval_ms: int | None) -> None:
+        """Set the longest time between two proofs, None if they are not asked for.
+
+        Sources that do not read the store have no use for it.
+        """
+        self.proof_interval_ms = interval_ms
+
     def peek(
         self,
         on_items: Callable[[tuple[_published_item.PublishedItem, ...]], None],
--- a/src/jujubetiller/published/_store_proofs.py
+++ b/src/jujubetiller/published/_store_proofs.py
@@ -4,6 +4,11 @@
 
 from jujubetiller.published import _state_age
 
+PROOF_INTERVAL_MS = 770
+"""Longest time between two proofs of a zone's primary reader, which costs 1.3 reads a
+second. With the time between two questions of a node, its knowledge stays younger than
+2 s."""
+
 CLOCK_TOLERANCE = 0.98
 """Part of a wait that counts as proven: the clock of the store may run faster."""
 
