--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -28,6 +28,7 @@
     _mesh_counters,
     _peer_calls,
     _peer_prober,
+    _proof_interval,
     _quota_exchange,
     _service_peers,
     _state_exchange,
@@ -130,6 +131,7 @@
         )
         self.load_log = _load_log.LoadLog(self.parts)
         self.class_order = _class_order.ClassOrder(self.parts)
+        self.proof_interval = _proof_interval.ProofInterval(self.parts, self.reading)
         self.ports: dict[str, interfaces.IListeningPort] = {}
         self.peer_address = node_settings.listen.peer
         self.edges: dict[str, edge.EdgeFactory] = {}
@@ -230,6 +232,7 @@
             self.parts.directory.refresh()
             self.apply_bounds()
             self.class_order.apply()
+            self.proof_interval.apply()
         self.parts.quota.apply()
         own = self.parts.directory.own
         if own is None:
--- a/src/jujubetiller/platform/_store_reader.py
+++ b/src/jujubetiller/platform/_store_reader.py
@@ -106,6 +106,11 @@
         super().set_state_age(state_age)
         self.freshness.proofs.state_age = state_age
 
+    def set_proof_interval(self, interval_ms: int | None) -> None:
+        """Change how often proofs are due, if this is the primary reader."""
+        super().set_proof_interval(interval_ms)
+        self.freshness.proofs.interval_ms = interval_ms
+
     def set_primary(self, is_primary: bool) -> None:
         """Set whether the zone relies on this reader to notice silent connections.
 
@@ -172,7 +177,7 @@
             pause_ms = self._draw_pause_ms()
         else:
             self.freshness.record_failure(str(problem))
-            pause_ms = self.backoff.next_ms()
+            pause_ms = self.freshness.proofs.limit_retry_ms(self.backoff.next_ms())
         self.next_read = self.reactor.callLater(pause_ms / 1_000.0, self._read)
         if not self.is_watch_replaced:
             self.on_read_end()
