--- a/standins/mesh_site/_local_mesh_site.py
+++ b/standins/mesh_site/_local_mesh_site.py
@@ -28,6 +28,12 @@
 
     def __init__(self, folder: pathlib.Path, stack: contextlib.ExitStack) -> None:
         self.folder, self.stack = folder, stack
+        self.extra_settings = ""
+        """Lines that are appended to the settings of each node."""
+
+        self.request_limits: dict[str, Any] = {}
+        """Limits of the configuration that differ from the sample document's."""
+
         self.base = find_port_base()
         instances = [
             {"name": name, "service": name.partition("-")[0], "host": host}
@@ -68,6 +74,7 @@
             **documents.CONFIGURATION,
             "version": f"{version:08x}",
             "listeners": [{"host": "a.example", "rules": rules}],
+            "limits": {**documents.CONFIGURATION["limits"], **self.request_limits},
         }
         self.tell("put", key="op/config", value=configuration)
         for name, host in HOSTS.items():
@@ -95,7 +102,7 @@
             .replace("127.0.0.9:8309", f"127.0.0.1:{self.ports['store']}")
         )
         path = self.folder / f"{name}.toml"
-        path.write_text(text)
+        path.write_text(text + self.extra_settings)
         process = subprocess.Popen(
             [sys.executable, "-m", "jujubetiller", "mesh"],
             stdout=subprocess.PIPE,
