Bound the memory that a node holds for others

Cause: only single requests had limits. 24 clients with bodies that stop at 99% held as much as they sent, and parser and connection referred to each other, so that the heads of closed connections stayed until a collection, which comes rarely.

Change: one account per node (package memory). Connections above the first threshold (50%) are held back by what they hold, one of them is read on; above the second (65%) new large requests get 503 NODE_MEMORY_FULL; connections without progress are closed, oldest first. Heads are limited by the configuration's max_header_bytes itself. Bodies exist once on their way: no copies at the end of reading and when they are written.

--- a/src/jujubetiller/buffers/_body_buffer.py
+++ b/src/jujubetiller/buffers/_body_buffer.py
@@ -1,5 +1,7 @@
 """A body that arrives in parts."""
 
+import io
+
 
 class BodyBuffer:
     """Joins the parts of a body as they arrive.
@@ -19,7 +21,7 @@
     __slots__ = ("content",)
 
     def __init__(self) -> None:
-        self.content: bytes | bytearray = b""
+        self.content: bytes | io.BytesIO = b""
 
     def add(self, part: bytes) -> None:
         """Append a part. The only part of a body is kept without a copy."""
@@ -27,13 +29,14 @@
             self.content = part
             return
         if isinstance(self.content, bytes):
-            self.content = bytearray(self.content)
-        self.content += part
+            first, self.content = self.content, io.BytesIO()
+            self.content.write(first)
+        self.content.write(part)
 
     def take(self) -> bytes:
-        """Return the body received so far, and empty the buffer."""
+        """Return the body received so far, without a copy, and empty the buffer."""
         content, self.content = self.content, b""
-        return bytes(content)
+        return content if isinstance(content, bytes) else content.getvalue()
 
     def clear(self) -> None:
         """Drop what was received so far."""
--- /dev/null
+++ b/src/jujubetiller/edge/_connection_memory.py
@@ -0,0 +1,94 @@
+"""The memory that one connection holds."""
+
+from typing import TYPE_CHECKING, Any
+
+from jujubetiller import memory, transports
+
+if TYPE_CHECKING:
+    from jujubetiller.edge import _pipelined_connection
+
+MIN_COUNTED_BYTES = 2_048
+"""A connection that holds less is not entered in the account."""
+
+MIN_PROGRESS_BYTES = 4_096
+"""A client that sends less makes no progress."""
+
+
+class ConnectionMemory(memory.HolderOwner):
+    """Enters what a connection holds in the account, and stops its reading."""
+
+    def __init__(
+        self,
+        account: memory.MemoryAccount,
+        connection: "_pipelined_connection.PipelinedConnection",
+    ) -> None:
+        self.account = account
+        self.connection = connection
+        self.holder = memory.Holder(account, self)
+        self.held_back = False
+        self.unsent_bytes = 0
+        self.unmarked_bytes = 0
+        """Bytes received since progress was recorded."""
+
+    def receive(self, received: int) -> None:
+        """Count what was received, which may stop the reading."""
+        self.measure()
+        holder = self.holder
+        if not holder.held_bytes:
+            return
+        self.unmarked_bytes += received
+        if self.unmarked_bytes >= MIN_PROGRESS_BYTES:
+            self.unmarked_bytes = 0
+            holder.record_progress()
+        if holder.held_bytes > memory.SMALL_BYTES and self.account.is_exhausted():
+            self.account.refused += 1
+            self.connection.refuse_for_memory()
+        elif not self.account.may_grow(holder):
+            self.account.paused += 1
+            self.held_back = True
+            self.connection.pause()
+
+    def measure(self) -> None:
+        """Enter what is held in the account."""
+        connection, holder = self.connection, self.holder
+        reading = connection.count_read_bytes()
+        requests = connection.running_bytes + connection.waiting.held_bytes
+        unsent = transports.count_unsent(connection.transport)
+        if connection.sender is not None:
+            unsent += connection.sender.unsent_bytes()
+        if unsent < self.unsent_bytes:
+            holder.record_progress()
+        self.unsent_bytes = unsent
+        answers = unsent + connection.answer_bytes
+        if reading + requests + answers < MIN_COUNTED_BYTES:
+            if not holder.held_bytes:
+                return
+            reading = requests = answers = 0
+        holder.set(memory.Kind.READING, reading)
+        holder.set(memory.Kind.REQUESTS, requests)
+        holder.set(memory.Kind.ANSWERS, answers)
+
+    def is_held_back(self) -> bool:
+        """Return whether it is not read because of the memory that it holds."""
+        return self.held_back
+
+    def waits_for_client(self) -> bool:
+        """Return whether the client has to send or take something."""
+        if self.connection.paused_at_ms is not None:
+            return False
+        return self.unsent_bytes > 0 or self.holder.held[memory.Kind.READING] > 0
+
+    def resume_reading(self) -> None:
+        """Read a connection that is held back."""
+        self.held_back = False
+        self.holder.record_progress()
+        if not self.connection.waiting.is_full():
+            self.connection.resume()
+
+    def close_for_memory(self) -> None:
+        """Refuse the request that is read; an answer that is not taken is dropped."""
+        if self.unsent_bytes:
+            transport: Any = self.connection.transport
+            transport.abortConnection()
+        else:
+            self.connection.refuse_for_memory()
--- a/src/jujubetiller/edge/_encode_reply.py
+++ b/src/jujubetiller/edge/_encode_reply.py
@@ -19,6 +19,16 @@
     reply: _edge_reply.EdgeReply, persistent: bool, head_only: bool = False
 ) -> bytes:
     """Return the bytes of an answer."""
+    head = encode_head(reply, persistent, head_only)
+    if head_only or reply.status in _NO_BODY_CODES:
+        return head
+    return head + reply.body
+
+
+def encode_head(
+    reply: _edge_reply.EdgeReply, persistent: bool, head_only: bool = False
+) -> bytes:
+    """Return the bytes of an answer before its body."""
     reason = _REASONS.get(reply.status, "")
     lines = [f"HTTP/1.1 {reply.status} {reason}"]
     lines += [f"{name}: {value}" for name, value in reply.headers]
@@ -33,7 +43,4 @@
         # A line break in a header name or value would add a header or split the answer.
         lines = [_LINE_BREAKS.sub(" ", line) for line in lines]
         text = "\r\n".join(lines) + "\r\n\r\n"
-    head = text.encode("latin-1", "replace")
-    if head_only or reply.status in _NO_BODY_CODES:
-        return head
-    return head + reply.body
+    return text.encode("latin-1", "replace")
--- a/src/jujubetiller/edge/_exchange.py
+++ b/src/jujubetiller/edge/_exchange.py
@@ -15,6 +15,9 @@
     keep_alive: bool
     """Whether the client keeps the connection for further requests."""
 
+    body_bytes: int = 0
+    """Length of the request's body."""
+
     reply: _edge_reply.EdgeReply | None = None
     """The answer, held until all earlier requests are answered."""
 
--- a/src/jujubetiller/edge/_pipelined_connection.py
+++ b/src/jujubetiller/edge/_pipelined_connection.py
@@ -7,31 +7,40 @@
 from twisted.internet import protocol
 from twisted.python import failure
 
-from jujubetiller import buffers, codes, transports
+from jujubetiller import codes, transports
 from jujubetiller.edge import (
-    _edge_message,
+    _connection_memory,
     _edge_reply,
     _encode_reply,
     _exchange,
-    _headers,
-    _hop_by_hop,
+    _request_reader,
     _waiting_requests,
 )
 
-_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _NOT_HTTP = "allowed is HTTP/1.1 with printable characters"
 
+_DETAILS = {
+    codes.ResultCode.BAD_REQUEST: _NOT_HTTP,
+    codes.ResultCode.NODE_MEMORY_FULL: "the node holds too much for other requests",
+}
 
-class PipelinedConnection(protocol.Protocol):
+
+LINGER_MS = 1_000.0
+"""Time for a refused client to take the answer while it still sends."""
+
+MAX_LINGERING = 64
+"""Connections that linger at the same time; others are closed at once."""
+
+
+class PipelinedConnection(_request_reader.RequestReader):
     """Handles up to ``pipeline_depth`` requests of an HTTP/1.1 connection concurrently.
 
     The answers are written in the order of the requests. Requests are parsed by
     httptools, which takes half the time of the line parser of ``twisted.web``.
     """
 
-    factory: Any
-
     def __init__(self) -> None:
+        super().__init__()
         self.parser = httptools.HttpRequestParser(self)
         self.requests: collections.deque[_exchange.Exchange] = collections.deque()
         self.waiting = _waiting_requests.WaitingRequests()
@@ -44,16 +53,19 @@
         """Whether waiting requests are being started; one that is refused at once
         leads back there."""
 
-        self.last_active_ms = 0.0
         self.is_closing = False
-        self.framing_bytes = 0
-        """Bytes since the last request, head or part of a body was complete: of a
-        head, of chunk sizes or of trailers. The parser may keep all of them."""
+        self.is_lingering = False
+        self.memory: _connection_memory.ConnectionMemory | None = None
+        """The memory that is held; None without an account."""
 
-        self.head_started_ms: float | None = None
-        """When the first byte of a head arrived that is still incomplete."""
+        self.running_bytes = 0
+        """Bodies of the requests that run."""
 
-        self.begin_message()
+        self.answer_bytes = 0
+        """Answers that wait for earlier ones."""
+
+        self.sender: transports.BodyProducer | None = None
+        """Sends a large answer; further answers wait for its end."""
 
     def connectionMade(self) -> None:
         """Count the connection, and set TCP_NODELAY to send small answers at once."""
@@ -61,6 +73,10 @@
         transport.setTcpNoDelay(True)
         self.last_active_ms = self.factory.clock.now_ms()
         self.factory.channels.add(self)
+        if self.factory.account is not None:
+            self.memory = _connection_memory.ConnectionMemory(
+                self.factory.account, self
+            )
 
     def dataReceived(self, data: bytes) -> None:
         """Parse the data, unless the connection is closing."""
@@ -73,8 +89,12 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.refuse_and_close(_NOT_HTTP)
             return
-        if self.framing_bytes > self.factory.max_head_bytes:
+        if self.refusal is not None:
+            self.refuse_and_close(_DETAILS[self.refusal], self.refusal)
+        elif self.framing_bytes > self.factory.max_head_bytes:
             self.refuse_and_close(_NOT_HTTP)
+        elif self.memory is not None:
+            self.memory.receive(len(data))
 
     def refuse_slow_head(self, oldest_ms: float) -> None:
         """Refuse a request whose head began before ``oldest_ms`` and is incomplete.
@@ -86,58 +106,11 @@
         if self.head_started_ms < oldest_ms:
             self.refuse_and_close("the head of the request took too long")
 
-    def begin_message(self) -> None:
-        """Reset the state of the request that is being parsed."""
-        self.url = b""
-        self.headers: list[tuple[str, str]] = []
-        """Names, in lower case, and values."""
-
-        self.body = buffers.BodyBuffer()
-        self.body_bytes = 0
-        self.is_too_large = False
-        self.head_is_complete = False
-
-    def on_message_begin(self) -> None:
-        """Start a request and record when its head began."""
-        self.begin_message()
-        self.head_started_ms = self.last_active_ms
-
-    def on_url(self, url: bytes) -> None:
-        """Append a part of the path and query."""
-        self.url += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header, with its name in lower case.
-
-        Trailers are dropped: they must not change what the headers say.
-        """
-        if self.head_is_complete:
-            return
-        self.headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
-
-    def on_headers_complete(self) -> None:
-        """Send ``100 Continue`` if the client expects it before sending the body."""
-        self.head_is_complete = True
-        self.head_started_ms = None
-        self.framing_bytes = 0
-        for name, value in self.headers:
-            if name == "expect" and value.lower() == "100-continue":
-                assert self.transport is not None
-                self.transport.write(_CONTINUE)
-
-    def on_body(self, data: bytes) -> None:
-        """Buffer a part of the body, up to ``max_body_bytes``."""
-        self.framing_bytes = 0
-        self.body_bytes += len(data)
-        if self.body_bytes > self.factory.max_body_bytes:
-            self.is_too_large = True
-            self.body.clear()
-        if not self.is_too_large:
-            self.body.add(data)
-
     def on_message_complete(self) -> None:
         """Pass a complete request on, and expect the next one."""
         self.framing_bytes = 0
+        if self.refusal is not None:
+            return
         exchange = _exchange.Exchange(
             self.parser.get_method(), self.parser.should_keep_alive()
         )
@@ -158,41 +131,6 @@
         if self.waiting.is_full():
             self.pause()
 
-    def make_message(self) -> _waiting_requests.Message:
-        """Return the request, or why it is refused."""
-        if self.is_too_large:
-            self.factory.bodies_refused += 1
-            return codes.Problem(
-                codes.ResultCode.BODY_TOO_LARGE,
-                "body",
-                f"at most {self.factory.max_body_bytes} bytes",
-            )
-        path = self.url.decode("latin-1")
-        if not (path.startswith("/") and path.isascii() and path.isprintable()):
-            return codes.Problem(
-                codes.ResultCode.BAD_REQUEST,
-                "path",
-                "only printable characters are allowed",
-            )
-        forwarded, control = self.split_headers()
-        method = self.parser.get_method().decode("latin-1")
-        body = self.body.take()
-        return _edge_message.EdgeMessage(method, path, forwarded, control, body)
-
-    def split_headers(self) -> tuple[tuple[tuple[str, str], ...], dict[str, str]]:
-        """Return the headers to forward and the Jujubetiller headers."""
-        dropped = _hop_by_hop.find_hop_by_hop(
-            [value for name, value in self.headers if name == "connection"]
-        )
-        forwarded = []
-        control = {}
-        for name, value in self.headers:
-            if name.startswith(_headers.HEADER_PREFIX):
-                control[name] = value
-            elif name not in dropped:
-                forwarded.append((name, value))
-        return tuple(forwarded), control
-
     def start(
         self,
         exchange: _exchange.Exchange,
@@ -200,6 +138,8 @@
     ) -> None:
         """Pass a request to the handler, or refuse it."""
         self.requests.append(exchange)
+        exchange.body_bytes = _waiting_requests.count_body(message)
+        self.running_bytes += exchange.body_bytes
         handler = self.factory.handler
         if isinstance(message, codes.Problem):
             detail = f"{message.field}: {message.message}"
@@ -217,9 +157,18 @@
         if exchange.reply is not None or exchange not in self.requests:
             return
         exchange.reply = reply
-        while self.requests and self.requests[0].reply is not None:
+        self.running_bytes -= exchange.body_bytes
+        self.answer_bytes += len(reply.body)
+        self.write_answers()
+
+    def write_answers(self) -> None:
+        """Write the answers that are next in order, then start waiting requests."""
+        self.sender = None if self.sender and self.sender.has_ended else self.sender
+        while self.requests and self.requests[0].reply and self.sender is None:
             self.write_first()
         self.start_waiting()
+        if self.memory is not None and not self.is_starting:
+            self.memory.measure()
 
     def write_first(self) -> None:
         """Write the answer to the oldest request."""
@@ -228,13 +177,49 @@
         assert self.transport is not None
         is_last = not self.requests and not self.waiting
         is_final = is_last and (self.is_closing or self.factory.handler.is_draining())
-        data = _encode_reply.encode_reply(
-            exchange.reply, not is_final, exchange.method == b"HEAD"
-        )
-        transports.send_now(self.transport, data)
+        reply = exchange.reply
+        self.answer_bytes -= len(reply.body)
+        is_head = exchange.method == b"HEAD"
+        if not is_head and transports.sends_in_parts(self.transport, reply.body):
+            head = _encode_reply.encode_head(reply, not is_final)
+            transports.send_now(self.transport, head)
+            self.sender = transports.BodyProducer(
+                self.transport, reply.body, self.write_answers
+            )
+            exchange.reply = None
+            self.sender.start()
+        else:
+            data = _encode_reply.encode_reply(reply, not is_final, is_head)
+            transports.send_now(self.transport, data)
         if is_final:
             self.is_closing = True
-            self.transport.loseConnection()
+            if not self.linger():
+                self.transport.loseConnection()
+
+    def linger(self) -> bool:
+        """Discard the rest of a body that is refused for lack of memory, for a while.
+
+        The operating system drops an answer that is not taken yet when a connection
+        with unread bytes is closed. Returns whether the connection stays open.
+        """
+        factory, transport = self.factory, self.transport
+        half_close = getattr(transport, "loseWriteConnection", None)
+        if self.refusal is not codes.ResultCode.NODE_MEMORY_FULL or half_close is None:
+            return False
+        if factory.lingering >= MAX_LINGERING or self.is_lingering:
+            return self.is_lingering
+        self.is_lingering = True
+        factory.lingering += 1
+        half_close()
+        transport.resumeProducing()  # type: ignore[union-attr]
+        factory.reactor.callLater(LINGER_MS / 1000.0, self.end_linger)
+        return True
+
+    def end_linger(self) -> None:
+        """Close the connection of a refused request."""
+        self.factory.lingering -= 1
+        if self.transport is not None:
+            self.transport.abortConnection()  # type: ignore[attr-defined]
 
     def start_waiting(self) -> None:
         """Start waiting requests, and resume reading once few are left."""
@@ -249,15 +234,29 @@
         if not self.waiting.is_full():
             self.resume()
 
-    def refuse_and_close(self, reason: str) -> None:
-        """Answer with ``BAD_REQUEST`` after all earlier answers, and close."""
+    def refuse_and_close(
+        self, reason: str, code: codes.ResultCode = codes.ResultCode.BAD_REQUEST
+    ) -> None:
+        """Answer with ``code`` after all earlier answers, and close.
+
+        What was read of the request is discarded.
+        """
         if self.is_closing:
             return
         self.is_closing = True
-        problem = codes.Problem(codes.ResultCode.BAD_REQUEST, "request", reason)
+        self.begin_message()
+        self.framing_bytes = 0
+        self.head_started_ms = None
+        self.parser = None
+        problem = codes.Problem(code, "request", reason)
         exchange = _exchange.Exchange(b"", keep_alive=False)
         self.start_or_wait(exchange, problem)
 
+    def refuse_for_memory(self) -> None:
+        """Refuse the request that is read, which has not run, and close."""
+        code = self.refusal = codes.ResultCode.NODE_MEMORY_FULL
+        self.refuse_and_close(_DETAILS[code], code)
+
     def pause(self) -> None:
         """Pause reading from the transport."""
         if self.paused_at_ms is None:
@@ -271,6 +270,9 @@
         paused_at_ms, self.paused_at_ms = self.paused_at_ms, None
         if paused_at_ms is None:
             return
+        if self.memory is not None and self.memory.held_back:
+            self.paused_at_ms = paused_at_ms
+            return
         if self.head_started_ms is not None:
             self.head_started_ms += self.factory.clock.now_ms() - paused_at_ms
         resume = getattr(self.transport, "resumeProducing", None)
@@ -288,6 +290,11 @@
         self.factory.channels.discard(self)
         self.is_closing = True
         self.begin_message()
+        self.parser = None
+        self.sender = None
+        if self.memory is not None:
+            self.memory.holder.release()
+            self.memory = None
         self.waiting.clear()
         requests, self.requests = self.requests, collections.deque()
         for exchange in requests:
--- a/src/jujubetiller/edge/_pipelined_factory.py
+++ b/src/jujubetiller/edge/_pipelined_factory.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from jujubetiller import clock
+from jujubetiller import clock, memory
 from jujubetiller.edge import _edge_factory, _edge_handler, _pipelined_connection
 
 MAX_HEAD_BYTES = 65_536
@@ -27,10 +27,23 @@
         max_connections: int,
         pipeline_depth: int = 8,
         max_head_bytes: int = MAX_HEAD_BYTES,
+        account: memory.MemoryAccount | None = None,
     ) -> None:
         super().__init__(reactor, time_source, handler, max_body_bytes, max_connections)
         self.pipeline_depth = pipeline_depth
         self.max_head_bytes = max_head_bytes
+        """Limit on the bytes that are received for a head or between two parts of a
+        body, with those of the requests behind it."""
+
+        self.max_header_bytes = max_head_bytes
+        """Limit on the target and the headers of a request."""
+
+        self.lingering = 0
+        """Connections that discard the rest of a refused request."""
+
+        self.account = account
+        """The account of the memory that the connections hold; None for none."""
+
         self.head_timeout_ms = HEAD_TIMEOUT_MS
         reactor.callLater(HEAD_CHECK_INTERVAL_MS / 1000.0, self.refuse_slow_heads)
 
--- a/src/jujubetiller/edge/_waiting_requests.py
+++ b/src/jujubetiller/edge/_waiting_requests.py
@@ -50,5 +50,9 @@
 
 
 def _find_cost_bytes(message: Message) -> int:
-    body = message.body if isinstance(message, _edge_message.EdgeMessage) else b""
-    return REQUEST_COST_BYTES + len(body)
+    return REQUEST_COST_BYTES + count_body(message)
+
+
+def count_body(message: Message) -> int:
+    """Return the length of the body of a request; 0 if it is refused."""
+    return len(message.body) if isinstance(message, _edge_message.EdgeMessage) else 0
--- /dev/null
+++ b/src/jujubetiller/memory/__init__.py
@@ -0,0 +1,23 @@
+"""The account of the memory that a node holds for clients, peers and its target."""
+
+from jujubetiller.memory._holder import Holder, HolderOwner, Kind
+from jujubetiller.memory._memory_account import (
+    LARGE_BYTES,
+    OWN_BYTES,
+    SMALL_BYTES,
+    MemoryAccount,
+    find_limit_bytes,
+)
+from jujubetiller.memory._relief import Relief
+
+__all__ = [
+    "Holder",
+    "HolderOwner",
+    "Kind",
+    "LARGE_BYTES",
+    "MemoryAccount",
+    "OWN_BYTES",
+    "Relief",
+    "SMALL_BYTES",
+    "find_limit_bytes",
+]
--- a/src/jujubetiller/mesh/_build_parts.py
+++ b/src/jujubetiller/mesh/_build_parts.py
@@ -9,6 +9,7 @@
     congestion,
     crashes,
     limits,
+    memory,
     metrics,
     notices,
     published,
@@ -95,4 +96,7 @@
         delays=congestion.PeakDelay(time_source),
         callers=congestion.CallerShares(),
         throttles=congestion.Throttles(time_source, random_source),
+        account=memory.MemoryAccount(
+            time_source, memory.find_limit_bytes(node_settings.memory.limit_mb)
+        ),
     )
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -14,6 +14,7 @@
     clock,
     crashes,
     edge,
+    memory,
     published,
     settings,
     streams,
@@ -24,6 +25,7 @@
     _egress_site,
     _header_names,
     _load_log,
+    _memory_watch,
     _mesh_counters,
     _peer_calls,
     _peer_prober,
@@ -156,6 +158,7 @@
         ):
             site = _status_sites.StatusSite(functools.partial(make_reply, parts))
             self.listen(name, site)
+        _memory_watch.MemoryWatch(parts).start()
         self.reading.start()
         self.crash_exchange.start()
         self.run_housekeeping()
@@ -177,6 +180,7 @@
             self.settings.streams.max_body_bytes,
             self.settings.limits.max_connections,
             PIPELINE_DEPTH,
+            account=self.parts.account,
         )
         self.edges[name] = factory
         address = getattr(self.settings.listen, name)
@@ -235,6 +239,7 @@
         factory.idle_ms = bounds.idle_timeout_ms
         factory.head_timeout_ms = bounds.header_timeout_ms
         factory.max_head_bytes = max(bounds.max_header_bytes, MIN_HEAD_BYTES)
+        factory.max_header_bytes = bounds.max_header_bytes
         factory.max_body_bytes = min(
             bounds.max_body_bytes, self.settings.streams.max_body_bytes
         )
@@ -268,6 +273,9 @@
             self.parts.target.close()
             self.parts.directory.set_own_address(node_settings.target.address)
         self.parts.budget.apply_settings(node_settings.repeats)
+        self.parts.account.limit_bytes = memory.find_limit_bytes(
+            node_settings.memory.limit_mb
+        )
 
     def drain(self) -> "defer.Deferred[int]":
         """Shut down after the requests in flight have ended, within the grace period.
--- a/src/jujubetiller/mesh/_mesh_parts.py
+++ b/src/jujubetiller/mesh/_mesh_parts.py
@@ -11,6 +11,7 @@
     congestion,
     crashes,
     limits,
+    memory,
     metrics,
     notices,
     routes,
@@ -62,6 +63,7 @@
     delays: congestion.PeakDelay
     callers: congestion.CallerShares
     throttles: congestion.Throttles
+    account: memory.MemoryAccount
     pool: streams.StreamPool = attrs.field(init=False)
     prober: "_peer_prober.PeerProber" = attrs.field(init=False)
 
--- a/src/jujubetiller/streams/_body_assembler.py
+++ b/src/jujubetiller/streams/_body_assembler.py
@@ -2,6 +2,7 @@
 
 import xxhash
 
+from jujubetiller import buffers
 from jujubetiller.streams import _memory_budget, _receive_window
 
 
@@ -13,10 +14,10 @@
     """
 
     __slots__ = (
+        "body",
         "budget",
         "checksum",
         "expected_bytes",
-        "parts",
         "received_bytes",
         "window",
     )
@@ -31,13 +32,13 @@
         self.expected_bytes = expected_bytes
         self.checksum = checksum
         self.budget = budget
-        self.parts: list[bytes] = []
+        self.body = buffers.BodyBuffer()
         self.received_bytes = 0
         self.window = _receive_window.ReceiveWindow(window_bytes)
 
     def add(self, part: bytes) -> bool:
         """Add a part; False if it exceeds the announced length or the credit."""
-        self.parts.append(part)
+        self.body.add(part)
         self.received_bytes += len(part)
         return self.window.consume(len(part)) and (
             self.received_bytes <= self.expected_bytes
@@ -49,8 +50,7 @@
 
     def assemble(self) -> bytes | None:
         """Return the body, or None if its length or checksum is wrong."""
-        body = b"".join(self.parts)
-        self.parts = []
+        body = self.body.take()
         return body if is_intact(body, self.expected_bytes, self.checksum) else None
 
     def release(self) -> None:
--- a/src/jujubetiller/streams/_body_sender.py
+++ b/src/jujubetiller/streams/_body_sender.py
@@ -25,6 +25,14 @@
     def __len__(self) -> int:
         return len(self._ready) + len(self._waiting)
 
+    def count_bytes(self) -> int:
+        """Return the bytes that are still to be sent."""
+        return sum(
+            len(body.body) - body.position
+            for bodies in (self._ready, self._waiting)
+            for body in bodies.values()
+        )
+
     def add(self, call_id: int, body: bytes) -> None:
         """Queue the body of ``call_id``; it must not be empty."""
         self._ready[call_id] = _Body(body, self.window_bytes)
--- a/src/jujubetiller/streams/_frame_writer.py
+++ b/src/jujubetiller/streams/_frame_writer.py
@@ -107,6 +107,11 @@
                 transports.send_now(self.transport, data)
         return None
 
+    def count_unsent(self) -> int:
+        """Return the bytes of frames and bodies that the peer has not taken."""
+        unsent = self.unsent_bytes + transports.count_unsent(self.transport)
+        return unsent + self.bodies.count_bytes() if self.bodies else unsent
+
     def end_batch(self) -> None:
         """End a batch and write its frames to the socket at once.
 
--- a/src/jujubetiller/streams/_server_stream.py
+++ b/src/jujubetiller/streams/_server_stream.py
@@ -118,7 +118,7 @@
             request.body = body
             waited_ms = self.context.clock.now_ms() - call.arrived_at_ms
             request.deadline_left_ms = max(0.0, request.deadline_left_ms - waited_ms)
-            call.drop_assembler()
+            call.keep_body(self.context.partial_bodies, len(body))
             self._run(call, request)
 
     def _refuse_body(self, call: _incoming_call.IncomingCall) -> None:
@@ -181,7 +181,7 @@
 
     def _cancel(self, call: _incoming_call.IncomingCall) -> None:
         call.stream = None
-        call.drop_assembler()
+        call.drop_body(self.context.partial_bodies)
         cancel, call.cancel_handler = call.cancel_handler, None
         if cancel is not None:
             try:
--- a/src/jujubetiller/streams/_stream_pool.py
+++ b/src/jujubetiller/streams/_stream_pool.py
@@ -215,6 +215,10 @@
         """Return whether a peer waits for an answer, or has not taken all of one."""
         return any(stream.has_work() for stream in self.listener.streams)
 
+    def count_unsent(self) -> int:
+        """Return the bytes of answers that peers have not taken yet."""
+        return sum(stream.writer.count_unsent() for stream in self.listener.streams)
+
     def is_suspect(self, address: settings.Address) -> bool:
         """Return whether the peer is silent or the last connection attempt failed."""
         slot = self.slots.get(address)
--- a/src/jujubetiller/target/_target_client.py
+++ b/src/jujubetiller/target/_target_client.py
@@ -25,6 +25,10 @@
 """Lost calls wait for the probe; without a listener it is refused at once."""
 
 
+FREE_BYTES = 1_048_576
+"""Responses that occupy less are read whatever else the node holds."""
+
+
 class TargetClient:
     """Sends requests to the target over a pool of persistent connections."""
 
@@ -109,6 +113,12 @@
                 return connection
         return None
 
+    def may_hold(self, number: int) -> bool:
+        """Return whether responses may occupy what they do after ``number`` bytes."""
+        if self.memory.held_bytes > self.settings.max_held_bytes:
+            return False
+        return self.memory.held_bytes <= FREE_BYTES or self.memory.has_room(number)
+
     def connection_idle(self, connection: _target_connection.TargetConnection) -> None:
         """Keep ``connection`` for reuse, unless the pool is full."""
         if len(self.idle) >= self.settings.idle_connections:
--- a/src/jujubetiller/target/_target_connection.py
+++ b/src/jujubetiller/target/_target_connection.py
@@ -71,6 +71,8 @@
         header; None without that header."""
 
         self.parser: httptools.HttpResponseParser | None = None
+        self.sender: transports.BodyProducer | None = None
+        """Sends the large body of the request in progress."""
 
     def connectionMade(self) -> None:
         """Send the call that the connection was opened for, unless it has ended."""
@@ -100,9 +102,17 @@
         self.reset_response()
         self.parser = httptools.HttpResponseParser(self)
         assert self.transport is not None
-        transports.send_now(
-            self.transport, _target_request.encode_request(call.request)
-        )
+        request = call.request
+        if transports.sends_in_parts(self.transport, request.body):
+            head = _target_request.encode_head(request)
+            transports.send_now(self.transport, head)
+            self.sender = transports.BodyProducer(
+                self.transport, request.body, _do_nothing
+            )
+            self.sender.start()
+        else:
+            data = _target_request.encode_request(request)
+            transports.send_now(self.transport, data)
 
     def reset_response(self) -> None:
         """Discard what was parsed so far and expect the head of a response."""
@@ -135,7 +145,7 @@
         max_answer_bytes = self.client.settings.max_answer_bytes
         if self.size.is_too_large(max_answer_bytes, self.head_is_complete):
             self.fail(codes.ResultCode.ANSWER_TOO_LARGE)
-        elif self.client.memory.held_bytes > self.client.settings.max_held_bytes:
+        elif not self.client.may_hold(len(data)):
             self.client.statistics.held_bytes_refused += 1
             self.fail(codes.ResultCode.ANSWER_TOO_LARGE)
         elif self.is_complete:
@@ -239,7 +249,8 @@
         )
         self.call = self.parser = None
         self.reset_response()
-        if self.keep_alive:
+        sender, self.sender = self.sender, None
+        if self.keep_alive and (sender is None or sender.has_ended):
             self.client.connection_idle(self)
         else:
             self.close()
@@ -296,6 +307,10 @@
         )
 
 
+def _do_nothing() -> None:
+    """Follow the end of a request's body: nothing is sent behind it."""
+
+
 _HEADER_HANDLERS = {
     "content-length": TargetConnection.handle_length,
     "transfer-encoding": TargetConnection.handle_length,
--- a/src/jujubetiller/target/_target_request.py
+++ b/src/jujubetiller/target/_target_request.py
@@ -25,7 +25,12 @@
 
     The edge has already checked that names and values contain no line breaks.
     """
+    return encode_head(request) + request.body
+
+
+def encode_head(request: TargetRequest) -> bytes:
+    """Return the bytes of ``request`` before its body."""
     lines = [f"{request.method} {request.path} HTTP/1.1"]
     lines.extend(f"{name}: {value}" for name, value in request.headers)
     lines.append(f"Content-Length: {len(request.body)}\r\n\r\n")
-    return "\r\n".join(lines).encode("latin-1") + request.body
+    return "\r\n".join(lines).encode("latin-1")
--- a/standins/mesh_site/__main__.py
+++ b/standins/mesh_site/__main__.py
@@ -30,7 +30,7 @@
     work_ms: float = 5.0
 
 
-MAX_BODY_BYTES = 1_048_576
+MAX_BODY_BYTES = 67_108_864
 MAX_CONNECTIONS = 1_000
 
 
--- /dev/null
+++ b/tests/edge/test_memory.py
@@ -0,0 +1,132 @@
+"""Guards against clients whose requests and answers exhaust a node."""
+
+import weakref
+
+import pytest
+
+from jujubetiller import clock, codes, edge, memory
+from tests.edge import recording
+from tests.memory import test_memory_account
+
+LIMIT_BYTES = 2_000_000
+BODY_BYTES = 1_000_000
+PART = b"x" * 50_000
+LENGTH = f"Content-Length: {BODY_BYTES}\r\n"
+CHUNKED = "Transfer-Encoding: chunked\r\n"
+HEADER_COSTS = 400
+"""The headers of such a request."""
+
+FULL = f"Jujubetiller-Code: {codes.ResultCode.NODE_MEMORY_FULL}"
+
+
+def make_listener() -> recording.Listener:
+    account = memory.MemoryAccount(clock.ManualClock(1_000), LIMIT_BYTES)
+    return recording.Listener(
+        max_body_bytes=BODY_BYTES,
+        max_connections=100,
+        factory_class=edge.PipelinedFactory,
+        account=account,
+    )
+
+
+def fill(listener: recording.Listener, share: float) -> memory.Holder:
+    """Hold a share of the limit for another client."""
+    owner = test_memory_account.Owner(listener.factory.account)  # type: ignore[attr-defined]
+    owner.waits = False
+    holder = owner.holder
+    holder.set(memory.Kind.READING, int(share * LIMIT_BYTES))
+    return holder
+
+
+def test_what_a_connection_holds_is_counted_until_its_answer_is_written() -> None:
+    listener = make_listener()
+    account = listener.factory.account  # type: ignore[attr-defined]
+    connection = listener.connect()
+    connection.request(headers=LENGTH, method="POST")
+    for number in range(BODY_BYTES // len(PART)):
+        connection.receive(PART)
+        kind = memory.Kind.READING
+        if number + 1 < BODY_BYTES // len(PART):
+            assert account.held[kind] == (number + 1) * len(PART) + HEADER_COSTS
+    assert account.held[memory.Kind.READING] == 0
+    listener.handler.replies[0](edge.EdgeReply(200, [], b"done"))
+    assert account.total_bytes() == 0 and account.holders == {}
+
+
+@pytest.mark.parametrize("headers", [LENGTH, CHUNKED])
+def test_a_large_request_is_refused_above_the_second_threshold(headers: str) -> None:
+    listener = make_listener()
+    fill(listener, 0.7)
+    connection = listener.connect()
+    connection.request(headers=headers, method="POST")
+    chunk = b"%x\r\n%b\r\n" % (len(PART), PART)
+    for _ in range(BODY_BYTES // len(PART)):
+        connection.receive(chunk)
+    connection.receive(b"0\r\n\r\n")
+    output = connection.read_output()
+    assert output.startswith("HTTP/1.1 503 ") and FULL in output
+    assert "Connection: close" in output
+    assert connection.transport.disconnecting
+    assert listener.handler.messages == []
+
+
+def test_small_requests_of_others_go_on() -> None:
+    listener = make_listener()
+    fill(listener, 0.99)
+    connection = listener.connect()
+    length = "Content-Length: 1000\r\n"
+    connection.request(headers=length, body="x" * 1_000, method="POST")
+    assert len(listener.handler.messages) == 1
+
+
+def test_a_connection_that_holds_most_is_not_read_until_others_hold_less() -> None:
+    listener = make_listener()
+    account = listener.factory.account  # type: ignore[attr-defined]
+    relief = memory.Relief(account)
+    holder = fill(listener, 0.55)
+    connection = listener.connect()
+    connection.request(headers=LENGTH, method="POST")
+    while connection.transport.producerState == "producing":
+        connection.receive(PART)
+    assert account.total_bytes() < 0.8 * LIMIT_BYTES
+    holder.set(memory.Kind.READING, 0)
+    relief.check()
+    assert connection.transport.producerState == "producing"
+    while not listener.handler.messages:
+        connection.receive(PART)
+    assert len(listener.handler.messages[0].body) == BODY_BYTES
+
+
+def test_a_client_that_stops_short_is_refused_and_its_memory_is_freed() -> None:
+    listener = make_listener()
+    account = listener.factory.account  # type: ignore[attr-defined]
+    fill(listener, 0.5)
+    connection = listener.connect()
+    connection.request(headers=LENGTH, method="POST")
+    connection.receive(PART)
+    account.clock.advance(2_100)
+    memory.Relief(account).check()
+    assert FULL in connection.read_output()
+    assert account.total_bytes() == LIMIT_BYTES // 2
+
+
+def test_a_head_over_the_configured_limit_is_refused() -> None:
+    listener = make_listener()
+    listener.factory.max_header_bytes = 1_000  # type: ignore[attr-defined]
+    connection = listener.connect()
+    connection.request(headers="a: b\r\n" * 300)
+    assert connection.read_output().startswith("HTTP/1.1 400 ")
+    assert listener.handler.messages == []
+    listener.connect().request(headers="a: b\r\n" * 100)
+    assert len(listener.handler.messages) == 1
+
+
+def test_a_closed_connection_is_freed_without_a_collection() -> None:
+    """Guards against the heads of closed connections, which stayed in memory."""
+    listener = make_listener()
+    connection = listener.connect()
+    connection.receive(b"GET / HTTP/1.1\r\na: " + b"b" * 70_000)
+    connection.disconnect()
+    reference = weakref.ref(connection.channel)
+    del connection.channel, connection
+    assert reference() is None
