End calls whose target answers with an invalid status

Cause: every status from 200 on was passed on, 600 and 999 with the target's stamp; below 200 a final answer was taken for an interim one, and the caller waited until its deadline. A 101 with an upgrade raised an exception in the connection.

--- a/src/jujubetiller/calls/__init__.py
+++ b/src/jujubetiller/calls/__init__.py
@@ -1,6 +1,10 @@
 """Data types of calls between nodes."""
 
-from jujubetiller.calls._call_answer import LOWEST_FAILURE_STATUS, CallAnswer
+from jujubetiller.calls._call_answer import (
+    FINAL_STATUSES,
+    LOWEST_FAILURE_STATUS,
+    CallAnswer,
+)
 from jujubetiller.calls._call_request import CallRequest
 from jujubetiller.calls._deadline import Deadline
 from jujubetiller.calls._refusal import make_refusal
@@ -11,6 +15,7 @@
     "CallAnswer",
     "CallRequest",
     "Deadline",
+    "FINAL_STATUSES",
     "StartOrRefuse",
     "make_refusal",
 ]
--- a/src/jujubetiller/calls/_call_answer.py
+++ b/src/jujubetiller/calls/_call_answer.py
@@ -5,6 +5,9 @@
 from jujubetiller import codes, records
 
 LOWEST_FAILURE_STATUS = 500
+
+FINAL_STATUSES = range(200, 600)
+"""The statuses of answers; others are never passed on."""
 """Answers with this HTTP status or a higher one mean that the target failed."""
 
 
--- a/src/jujubetiller/mesh/_ingress_call.py
+++ b/src/jujubetiller/mesh/_ingress_call.py
@@ -184,6 +184,8 @@
         """Return the result code, which says whether the target ran the request."""
         if response.code is not _Code.ANSWERED:
             return response.code
+        if response.status not in calls.FINAL_STATUSES:
+            return _Code.ANSWER_INCOMPLETE
         if find_header(response.headers, self.parts.headers.not_run) is not None:
             if response.status == MISDIRECTED_STATUS:
                 return _Code.WRONG_SERVICE
--- a/src/jujubetiller/target/_target_statistics.py
+++ b/src/jujubetiller/target/_target_statistics.py
@@ -18,6 +18,9 @@
     held_bytes_refused: int = 0
     """Responses dropped because all responses together occupied too much memory."""
 
+    responses_invalid: int = 0
+    """Responses that are not HTTP/1.1 or whose status is none of a final answer."""
+
     closed_early: int = 0
     responses_of_others: int = 0
     """Responses dropped because they belong to an earlier request."""
