--- /dev/null
+++ b/tests/edge/test_large_answers.py
@@ -0,0 +1,69 @@
+"""Guards against large answers that are mixed up or stay counted."""
+
+from typing import Any
+
+import pytest
+from twisted.internet import abstract
+
+from jujubetiller import clock, edge, memory
+from tests.edge import recording
+
+LARGE_BYTES = 1_000_000
+TAKEN_BYTES = 30_000
+
+
+class Reactor:
+    """Ignores requests to watch a descriptor; the test drives it."""
+
+    def __getattr__(self, name: str) -> Any:
+        return lambda *arguments: None
+
+
+class SlowSocket(abstract.FileDescriptor):
+    """A socket that takes some bytes at a time."""
+
+    def __init__(self) -> None:
+        super().__init__(Reactor())  # type: ignore[arg-type]
+        self.connected = 1
+        self.taken = bytearray()
+        self.is_closed = False
+
+    def writeSomeData(self, data: bytes) -> int:
+        self.taken += bytes(data[:TAKEN_BYTES])
+        return len(data[:TAKEN_BYTES])
+
+    def take_all(self) -> None:
+        while self.dataBuffer or self._tempDataBuffer or self.producer:
+            if self.doWrite() is not None:
+                self.is_closed = True
+                return
+
+    def setTcpNoDelay(self, enabled: bool) -> None:
+        """Accept the option."""
+
+
+@pytest.mark.parametrize("keep_alive", [True, False])
+def test_a_large_answer_is_sent_whole_and_before_later_ones(keep_alive: bool) -> None:
+    account = memory.MemoryAccount(clock.ManualClock(1_000), 10_000_000)
+    listener = recording.Listener(factory_class=edge.PipelinedFactory, account=account)
+    channel = listener.factory.buildProtocol(None)
+    transport = SlowSocket()
+    channel.makeConnection(transport)
+    channel.dataReceived(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+    close = b"" if keep_alive else b"Connection: close\r\n"
+    channel.dataReceived(b"GET /b HTTP/1.1\r\nHost: x\r\n" + close + b"\r\n")
+    body = bytes(range(250)) * (LARGE_BYTES // 250)
+    listener.handler.replies[1](edge.EdgeReply(200, [], b"second"))
+    listener.handler.replies[0](edge.EdgeReply(200, [], body))
+    assert account.held[memory.Kind.ANSWERS] >= LARGE_BYTES
+    # No second copy of the body waits in the transport.
+    assert len(transport.dataBuffer) + transport._tempDataLen < LARGE_BYTES // 2
+    transport.take_all()
+    first, _, rest = bytes(transport.taken).partition(b"\r\n\r\n")
+    assert f"Content-Length: {LARGE_BYTES}".encode() in first
+    assert rest[:LARGE_BYTES] == body
+    assert rest[LARGE_BYTES:].endswith(b"\r\n\r\nsecond")
+    assert rest.count(b"HTTP/1.1 200 OK") == 1
+    assert transport.disconnecting is not keep_alive
+    channel.memory.measure()
+    assert account.total_bytes() == 0
