--- a/src/jujubetiller/mesh/_build_parts.py
+++ b/src/jujubetiller/mesh/_build_parts.py
@@ -9,6 +9,7 @@
     congestion,
     crashes,
     limits,
+    memory,
     metrics,
     notices,
     published,
@@ -100,4 +101,7 @@
         throttles=congestion.Throttles(time_source, random_source),
         state_age=state_age,
         keys=_key_check.KeyCheck(state_age, node_settings.teams, headers.authorization),
+        account=memory.MemoryAccount(
+            time_source, memory.find_limit_bytes(node_settings.memory.limit_mb)
+        ),
     )
--- a/src/jujubetiller/mesh/_mesh_parts.py
+++ b/src/jujubetiller/mesh/_mesh_parts.py
@@ -11,6 +11,7 @@
     congestion,
     crashes,
     limits,
+    memory,
     metrics,
     notices,
     published,
@@ -67,6 +68,7 @@
     throttles: congestion.Throttles
     state_age: published.StateAge
     keys: _key_check.KeyCheck
+    account: memory.MemoryAccount
     pool: streams.StreamPool = attrs.field(init=False)
     prober: "_peer_prober.PeerProber" = attrs.field(init=False)
     quota: "_quota_exchange.QuotaExchange" = attrs.field(init=False)
