Learn the limit of a target from throughput against concurrency

Cause: the declared slots are the limit, also where a target collapses beyond half of them. Change: limits.LearnedLimitPolicy (features.target_limit "learned") compares the present limit with a lower one while run times are above their baselines, and lowers it only if throughput does not fall. The sample for policies names the kind. limits.read_room gives the room and the wait that answers will report.

--- a/src/jujubetiller/limits/__init__.py
+++ b/src/jujubetiller/limits/__init__.py
@@ -12,6 +12,7 @@
 from jujubetiller.limits._guard_entry import EntryState, GuardEntry
 from jujubetiller.limits._guard_timer import GuardTimer
 from jujubetiller.limits._latency_sample import LatencySample
+from jujubetiller.limits._learned_limit_policy import LearnedLimitPolicy
 from jujubetiller.limits._limit_policy import LimitPolicy
 from jujubetiller.limits._priority_queue_order import PriorityQueueOrder
 from jujubetiller.limits._queue_order import QueueOrder
@@ -20,6 +21,7 @@
 from jujubetiller.limits._rate_limiter import RateLimiter
 from jujubetiller.limits._rate_meter import RateMeter
 from jujubetiller.limits._refusal_level import RefusalLevel
+from jujubetiller.limits._room_report import read_room
 from jujubetiller.limits._run_time_estimates import RunTimeEstimates
 from jujubetiller.limits._target_guard import SHED_CODES, TargetGuard
 
@@ -35,6 +37,7 @@
     "GuardEntry",
     "GuardTimer",
     "LatencySample",
+    "LearnedLimitPolicy",
     "LimitPolicy",
     "PriorityQueueOrder",
     "QueueOrder",
@@ -48,4 +51,5 @@
     "build_order",
     "build_policy",
     "compute_rank",
+    "read_room",
 ]
--- a/src/jujubetiller/limits/_build_policy.py
+++ b/src/jujubetiller/limits/_build_policy.py
@@ -7,6 +7,7 @@
     _arrival_queue_order,
     _fixed_limit_policy,
     _gradient_limit_policy,
+    _learned_limit_policy,
     _limit_policy,
     _priority_queue_order,
     _queue_order,
@@ -14,6 +15,9 @@
 
 _POLICIES: dict[str, Callable[[int, int, int | None], _limit_policy.LimitPolicy]] = {
     "fixed": lambda lowest, slots, initial: _fixed_limit_policy.FixedLimitPolicy(slots),
+    "learned": lambda lowest, slots, initial: _learned_limit_policy.LearnedLimitPolicy(
+        lowest, slots
+    ),
     "additive": lambda lowest, slots, initial: (
         _additive_increase_limit_policy.AdditiveIncreaseLimitPolicy(
             lowest, slots, initial=initial
--- a/src/jujubetiller/limits/_latency_sample.py
+++ b/src/jujubetiller/limits/_latency_sample.py
@@ -20,5 +20,8 @@
     in_flight: int = 0
     """Calls running at the target when this one ended, itself included."""
 
+    kind: str = ""
+    """Request kind of the call."""
+
     succeeded: bool = True
     """False when the target shed the call, timed out or closed the connection."""
--- a/src/jujubetiller/limits/_target_guard.py
+++ b/src/jujubetiller/limits/_target_guard.py
@@ -115,6 +115,7 @@
         sample = self.sample
         sample.at_ms = now_ms
         sample.run_ms = max(0.0, run_ms - entry.nested_ms)
+        sample.kind = entry.kind
         sample.in_flight = self.in_flight
         sample.succeeded = succeeded
         self.in_flight -= 1
--- a/src/jujubetiller/routing/_routable_instance.py
+++ b/src/jujubetiller/routing/_routable_instance.py
@@ -26,6 +26,9 @@
     slow_start_ms: float | None = None
     """Remaining time of the instance's slow start, if that is known."""
 
+    slots: int = 0
+    """Calls that the instance declares to run at once; 0 if that is not known."""
+
     @functools.cached_property
     def address(self) -> settings.Address:
         """The address of the node's peer listener."""
