Place calls by the room that targets' nodes report

Cause: the weight by the fourth power of latency sends the fastest instance more than it takes, follows waits as if they were speed, and sends 1% of the calls to each instance of other zones always. Change: routing.RoomWeightedRouter (features.placing "room"; "latency" is unchanged) draws by learned throughput, compares a second instance if the first has no room by a young report, and sends to other zones what the own one lacks room for. The node beside a target fills CallAnswer.room and wait_ms. Metrics for both features.

--- a/src/jujubetiller/mesh/_build_parts.py
+++ b/src/jujubetiller/mesh/_build_parts.py
@@ -28,6 +28,11 @@
 HOST = "host"
 """The header that names the host to which a request is addressed."""
 
+_ROUTERS: dict[str, type[routing.Router]] = {
+    "latency": routing.LatencyWeightedRouter,
+    "room": routing.RoomWeightedRouter,
+}
+
 
 def build_parts(
     reactor: Any,
@@ -40,10 +45,12 @@
     boot_id: str,
 ) -> _mesh_parts.MeshParts:
     """Return the components of a node; ``pool`` and ``prober`` are not set yet."""
-    router = routing.LatencyWeightedRouter(
+    router = _ROUTERS[node_settings.features.placing](
         time_source, random_source, node_settings.routing, node_settings.zone
     )
-    guard = limits.build_guard(time_source, node_settings.limits)
+    guard = limits.build_guard(
+        time_source, node_settings.limits, node_settings.features
+    )
     configuration = _configuration_in_force.ConfigurationInForce(
         decoder, node_settings.node
     )
--- a/src/jujubetiller/mesh/_ingress_call.py
+++ b/src/jujubetiller/mesh/_ingress_call.py
@@ -211,6 +211,8 @@
         if reply is not None:
             answer.queue_delay_ms = self.parts.delays.read()
             answer.is_nested = self.is_nested()
+            if self.parts.settings.features.placing == "room":
+                answer.room, answer.wait_ms = limits.read_room(self.parts.guard)
             self.parts.notices.add_to_answer(self.request.expected_instance, answer)
             reply(answer)
 
--- a/src/jujubetiller/mesh/_instance_directory.py
+++ b/src/jujubetiller/mesh/_instance_directory.py
@@ -275,5 +275,6 @@
         boot_id=str(instance.started_unix_ms),
         leaving=instance.draining or listed.is_replaced,
         slow_start_ms=instance.slow_start_ms,
+        slots=instance.slots,
     )
     return listed.routable
--- a/src/jujubetiller/mesh/_mesh_counters.py
+++ b/src/jujubetiller/mesh/_mesh_counters.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from jujubetiller import crashes, metrics, notices, published
+from jujubetiller import crashes, limits, metrics, notices, published, routing
 from jujubetiller.mesh import _mesh_parts, _store_reading
 
 
@@ -57,6 +57,20 @@
         "Published items and answers that were not applied, by reason.",
         lambda: read_published(parts, state, source),
     )
+    router, policy = parts.router, parts.guard.policy
+    if isinstance(router, routing.RoomWeightedRouter):
+        yield metrics.CounterGroup(
+            "placing",
+            "Choices of instances by the room that targets' nodes report.",
+            router.read_counters,
+        )
+    if isinstance(policy, limits.LearnedLimitPolicy):
+        yield metrics.CounterGroup(
+            "target_limit",
+            "The learned limit of the node's target and what it is based on.",
+            policy.read_values,
+            is_counter=False,
+        )
     yield from notices.make_groups(parts.guard, parts.notices)
     yield from crashes.make_groups(parts.containment, parts.watch)
     yield metrics.CounterGroup(
--- a/src/jujubetiller/routing/__init__.py
+++ b/src/jujubetiller/routing/__init__.py
@@ -3,6 +3,10 @@
 from jujubetiller.routing._instance_stats import InstanceStats
 from jujubetiller.routing._latency_weighted_pool import LatencyWeightedPool
 from jujubetiller.routing._latency_weighted_router import LatencyWeightedRouter
+from jujubetiller.routing._load_report import LoadReport
+from jujubetiller.routing._other_zone_share import OtherZoneShare
+from jujubetiller.routing._room_weighted_pool import RoomWeightedPool
+from jujubetiller.routing._room_weighted_router import RoomWeightedRouter
 from jujubetiller.routing._routable_instance import RoutableInstance
 from jujubetiller.routing._router import Router
 from jujubetiller.routing._service_pool import ServicePool
@@ -13,6 +17,10 @@
     "InstanceStats",
     "LatencyWeightedPool",
     "LatencyWeightedRouter",
+    "LoadReport",
+    "OtherZoneShare",
+    "RoomWeightedPool",
+    "RoomWeightedRouter",
     "RoutableInstance",
     "Router",
     "ServicePool",
--- a/src/jujubetiller/routing/_instance_stats.py
+++ b/src/jujubetiller/routing/_instance_stats.py
@@ -6,7 +6,7 @@
 import attrs
 import result
 
-from jujubetiller.routing import _rate_share, _routable_instance
+from jujubetiller.routing import _load_report, _rate_share, _routable_instance
 
 # Weight of a new sample in the moving averages.
 _SAMPLE_WEIGHT = 0.2
@@ -59,6 +59,9 @@
     rate: _rate_share.RateShare = attrs.field(factory=_rate_share.RateShare)
     """The share of calls while the instance has a rate limit."""
 
+    load: _load_report.LoadReport = attrs.field(factory=_load_report.LoadReport)
+    """What the instance's node reported last, used when placing by room."""
+
     ok_result: Any = attrs.field(init=False, eq=False)
     """``instance`` as a result, made once because each choice returns it."""
 
--- a/src/jujubetiller/routing/_latency_weighted_pool.py
+++ b/src/jujubetiller/routing/_latency_weighted_pool.py
@@ -11,7 +11,7 @@
 
 _SAMPLE_WEIGHT = 0.1
 
-_DECAY_MS = 5_000.0
+DECAY_MS = 5_000.0
 """Time constant of the decay of old samples."""
 
 _LATENCY_EXPONENT = 4.0
@@ -57,7 +57,7 @@
         self, stats: _Stats, failed: bool, took_ms: float, kind: str, now_ms: float
     ) -> None:
         """Update the statistics of an instance with a call that ended."""
-        decay = math.exp((stats.updated_at_ms - now_ms) / _DECAY_MS)
+        decay = math.exp((stats.updated_at_ms - now_ms) / DECAY_MS)
         stats.relative_latency = 1.0 + (stats.relative_latency - 1.0) * decay
         stats.failure_rate *= decay
         stats.updated_at_ms = now_ms
@@ -102,15 +102,19 @@
 
     def weight(self, stats: _Stats, now_ms: float) -> float:
         """Return the weight of the instance in the random choice."""
-        decay = math.exp((stats.updated_at_ms - now_ms) / _DECAY_MS)
+        weight = self.weight_in_own_zone(stats, now_ms)
+        if stats.instance.zone != self.own_zone:
+            weight *= _OTHER_ZONE_WEIGHT
+        return weight
+
+    def weight_in_own_zone(self, stats: _Stats, now_ms: float) -> float:
+        """Return the weight that the instance has, or would have, in the own zone."""
+        decay = math.exp((stats.updated_at_ms - now_ms) / DECAY_MS)
         relative_latency = max(
             _MIN_RELATIVE_LATENCY, 1.0 + (stats.relative_latency - 1.0) * decay
         )
         cost = relative_latency * (1.0 + _FAILURE_COST * stats.failure_rate * decay)
-        weight = cost**-_LATENCY_EXPONENT * stats.warm_share(now_ms)
-        if stats.instance.zone != self.own_zone:
-            weight *= _OTHER_ZONE_WEIGHT
-        return weight
+        return cost**-_LATENCY_EXPONENT * stats.warm_share(now_ms)
 
     def _candidates(self, exclude: frozenset[str]) -> list[_Stats]:
         candidates = [*self.own_zone_stats, *self.other_zone_stats]
--- /dev/null
+++ b/src/jujubetiller/routing/_load_report.py
@@ -0,0 +1,111 @@
+"""What a node knows of the load of an instance from the instance's own reports."""
+
+import math
+
+import attrs
+
+FADE_MS = 300.0
+"""Time constant with which a report loses its weight against the average of its zone.
+Other callers, whose calls it does not contain, fill or free instances in that time."""
+
+YOUNG_MS = 900.0
+"""Age beyond which a report has less than 5% of its weight and is not consulted."""
+
+LASTING_MS = 60_000.0
+"""Time constant with which a learned speed returns to the average without calls."""
+
+RECENT_MS = 300.0
+"""Time constant of the speed at present, for slow-downs of about 600 ms."""
+
+_LASTING_WEIGHT = 0.05
+_RECENT_WEIGHT = 0.3
+_ROOM_WEIGHT = 0.1
+
+MAX_RATIO = 4.0
+"""Bound on the effect of one call: 3% of the work takes seven times as long."""
+
+MIN_RATIO = 0.25
+
+
+@attrs.define
+class LoadReport:
+    """The last report of one instance, its age, and the learned speed."""
+
+    room: int = 0
+    """Calls that the instance took at that time beyond those it had."""
+
+    wait_ms: float = 0.0
+    at_ms: float = -math.inf
+    """When the report arrived; minus infinity before the first."""
+
+    sent_since: int = 0
+    """Calls that this node sent to the instance since then."""
+
+    is_refusal: bool = False
+    """Whether the last report came with a refusal for lack of room."""
+
+    highest_room: int = 1
+    mean_room_share: float = 0.0
+    """Moving average over reports of the room as a share of the slots, -1 to 1."""
+
+    run_ratio: float = 1.0
+    """Run time without the wait relative to the average of the kinds, lasting value."""
+
+    recent_ratio: float = 1.0
+    ratio_at_ms: float = 0.0
+
+    def record_report(
+        self, room: int, wait_ms: float, slots: int, now_ms: float
+    ) -> None:
+        """Replace the report; ``slots`` is 0 if they are not known."""
+        is_first = self.at_ms == -math.inf
+        self.room = room
+        self.wait_ms = wait_ms
+        self.at_ms = now_ms
+        self.sent_since = 0
+        if room > self.highest_room:
+            self.highest_room = room
+        share = room / (slots or self.highest_room)
+        share = max(-1.0, min(1.0, share))
+        weight = 1.0 if is_first else _ROOM_WEIGHT
+        self.mean_room_share += weight * (share - self.mean_room_share)
+
+    def record_ratio(self, ratio: float, now_ms: float) -> None:
+        """Add the run time of a call relative to the average of its kind."""
+        ratio = min(ratio, MAX_RATIO)
+        recent = self.read_recent_ratio(now_ms)
+        lasting = self.read_run_ratio(now_ms)
+        self.recent_ratio = recent + _RECENT_WEIGHT * (ratio - recent)
+        self.run_ratio = lasting + _LASTING_WEIGHT * (ratio - lasting)
+        self.ratio_at_ms = now_ms
+
+    def read_run_ratio(self, now_ms: float) -> float:
+        """Return the lasting relative run time, which fades to 1."""
+        fade = math.exp((self.ratio_at_ms - now_ms) / LASTING_MS)
+        return max(MIN_RATIO, 1.0 + (self.run_ratio - 1.0) * fade)
+
+    def read_recent_ratio(self, now_ms: float) -> float:
+        """Return the relative run time at present, which fades to the lasting one."""
+        fade = math.exp((self.ratio_at_ms - now_ms) / RECENT_MS)
+        return self.run_ratio + (self.recent_ratio - self.run_ratio) * fade
+
+    def room_share(self, slots: int) -> float:
+        """Return the room less what was sent since, as a share of the slots."""
+        share = (self.room - self.sent_since) / (slots or self.highest_room)
+        return max(-1.0, min(1.0, share))
+
+    def expect_completion_ms(
+        self, run_ms: float, average_wait_ms: float, slots: int, now_ms: float
+    ) -> float:
+        """Return the expected time of a call that is sent now, in milliseconds.
+
+        ``run_ms`` is the average run time of calls to the service, and
+        ``average_wait_ms`` is expected as far as the report has faded.
+        """
+        run_ms *= self.read_recent_ratio(now_ms)
+        fade = math.exp((self.at_ms - now_ms) / FADE_MS)
+        lack = self.sent_since - max(self.room - 1, 0)
+        wait_ms = self.wait_ms
+        if lack > 0:
+            wait_ms += lack * run_ms / (slots or self.highest_room)
+        return run_ms + fade * wait_ms + (1.0 - fade) * average_wait_ms
--- /dev/null
+++ b/src/jujubetiller/routing/_other_zone_share.py
@@ -0,0 +1,128 @@
+"""The share of calls that goes to other zones while the own one is full."""
+
+import logbook
+
+from jujubetiller.routing import _zone_room
+
+_LOG = logbook.Logger("jujubetiller.routing")
+
+SHORT_ROOM = 0.0
+"""Below this room the own zone is short: on average, calls wait at its instances."""
+
+AMPLE_ROOM = 0.05
+"""Above this room calls return; between both bounds the share stays as it is. With 0.05
+and 0.15 a fifth more calls left zones whose load swings, and no more were in time."""
+
+OTHER_ROOM = 0.15
+"""Other zones with less room get no greater share."""
+
+FULL_ROOM = 0.05
+"""Other zones with less room get a smaller share."""
+
+_RISE_PER_S = 3.0
+"""Change of the share in a second for each unit of lacking room. A zone whose load
+swings by 55% over 17 s changes by at most 0.2 a second."""
+
+_FALL_PER_S = 4.0
+_FALL_WITHOUT_ROOM_PER_S = 0.5
+_FALL_WITHOUT_REPORT_PER_S = 0.2
+
+HIGHEST_SHARE = 0.8
+"""The rest keeps the reports of the own zone young."""
+
+HIGHEST_UNKNOWN_SHARE = 0.1
+"""Bound while no report of another zone is young: the first calls bring reports."""
+
+_MAX_STEP_MS = 250.0
+_LOGGED_SHARE = 0.02
+"""The start is logged from this share on, so that noise writes no lines."""
+
+
+class OtherZoneShare:
+    """Follows the part of the load that the own zone lacks room for.
+
+    All nodes of a zone see similar reports. The share changes by what is lacking, a
+    few times slower than reports age, so that they don't all leave at once.
+    """
+
+    def __init__(self) -> None:
+        self.share = 0.0
+        self.due = 0.0
+        """Sum of the shares of calls since the last one that went to another zone."""
+
+        self.updated_at_ms = 0.0
+        self.is_sending = False
+        self.starts = 0
+
+    def update(
+        self,
+        service: str,
+        own: _zone_room.ZoneRoom,
+        others: _zone_room.ZoneRoom,
+        now_ms: float,
+    ) -> None:
+        """Update the share to the time ``now_ms`` by what is known of the zones."""
+        elapsed_s = min(now_ms - self.updated_at_ms, _MAX_STEP_MS) / 1_000.0
+        self.updated_at_ms = now_ms
+        step = elapsed_s * self._rate_per_s(own, others)
+        share = min(HIGHEST_SHARE, self.share + step)
+        if step > 0.0 and others.share is None:
+            share = min(share, max(self.share, HIGHEST_UNKNOWN_SHARE))
+        self.share = max(0.0, share)
+        if self.share == 0.0:
+            self.due = 0.0
+        self._log(service, own, others)
+
+    def _rate_per_s(
+        self, own: _zone_room.ZoneRoom, others: _zone_room.ZoneRoom
+    ) -> float:
+        """Return the change of the share in a second."""
+        if own.share is None:
+            return -_FALL_WITHOUT_REPORT_PER_S
+        if own.share > AMPLE_ROOM:
+            return -_FALL_PER_S * (own.share - AMPLE_ROOM)
+        if others.share is not None and others.share < FULL_ROOM:
+            return -_FALL_WITHOUT_ROOM_PER_S
+        if own.share < SHORT_ROOM and (
+            others.share is None or others.share > OTHER_ROOM
+        ):
+            return _RISE_PER_S * (SHORT_ROOM - own.share)
+        return 0.0
+
+    def takes_call(self) -> bool:
+        """Return whether the present call goes to another zone."""
+        if self.share <= 0.0:
+            return False
+        self.due += self.share
+        if self.due < 1.0:
+            return False
+        self.due -= 1.0
+        return True
+
+    def _log(
+        self, service: str, own: _zone_room.ZoneRoom, others: _zone_room.ZoneRoom
+    ) -> None:
+        """Log the start and the end of sending to other zones."""
+        if self.is_sending == (self.share > 0.0) or (
+            not self.is_sending and self.share < _LOGGED_SHARE
+        ):
+            return
+        self.is_sending = not self.is_sending
+        self.starts += self.is_sending
+        _LOG.info(
+            "calls go to other zones" if self.is_sending else "calls stay in the zone",
+            extra={
+                "service": service,
+                "share": round(self.share, 3),
+                "own_room": None if own.share is None else round(own.share, 2),
+                "own_wait_ms": round(own.wait_ms, 1),
+                "own_age_ms": _round_age(own.age_ms),
+                "other_room": None if others.share is None else round(others.share, 2),
+                "other_age_ms": _round_age(others.age_ms),
+            },
+        )
+
+
+def _round_age(age_ms: float) -> float | None:
+    """Return the age for a log line, None if there was no report."""
+    return round(age_ms, 1) if age_ms < 1e9 else None
--- /dev/null
+++ b/src/jujubetiller/routing/_room_weighted_router.py
@@ -0,0 +1,59 @@
+"""A router that places calls by the room that targets' nodes report."""
+
+from jujubetiller import calls, codes
+from jujubetiller.routing import _room_weighted_pool, _routable_instance, _router
+
+_Code = codes.ResultCode
+
+_REFUSED_FOR_ROOM = frozenset(
+    (_Code.QUEUE_FULL, _Code.QUEUE_EVICTED, _Code.QUEUE_DEADLINE)
+)
+"""The report tells that the instance is full. If these refusals counted as failures
+too, a full instance would lose nearly all calls, and the others would become full."""
+
+
+class RoomWeightedRouter(_router.Router):
+    """Chooses instances by learned throughput, reported room and expected wait."""
+
+    pool_class = _room_weighted_pool.RoomWeightedPool
+
+    def record_sent(self, instance: _routable_instance.RoutableInstance) -> None:
+        """Count a call as outstanding; exactly one ``record_answer`` must follow."""
+        stats = self._find(instance)
+        if stats is not None:
+            stats.outstanding += 1
+            stats.sent += 1
+            stats.load.sent_since += 1
+
+    def record_answer(
+        self,
+        instance: _routable_instance.RoutableInstance,
+        answer: calls.CallAnswer,
+        took_ms: float,
+        kind: str = "",
+    ) -> None:
+        """Record the answer to an outstanding call and the report inside it."""
+        if answer.room is not None:
+            stats = self._find(instance)
+            if stats is not None:
+                stats.load.record_report(
+                    answer.room,
+                    answer.wait_ms,
+                    stats.instance.slots,
+                    self.time_source.now_ms(),
+                )
+                stats.load.is_refusal = answer.code in _REFUSED_FOR_ROOM
+        super().record_answer(instance, answer, took_ms, kind)
+
+    def read_counters(self) -> dict[str, float]:
+        """Return counters of the choices by room, summed over all services."""
+        pools = [
+            pool
+            for pool in self.pools.values()
+            if isinstance(pool, _room_weighted_pool.RoomWeightedPool)
+        ]
+        return {
+            "sent_to_other_zones": sum(pool.sent_to_other_zones for pool in pools),
+            "other_zone_starts": sum(pool.other_zones.starts for pool in pools),
+            "compared": sum(pool.compared for pool in pools),
+        }
