Match a report with its answer independently of the clock

Cause: the pool compared the time of the report with that of the answer, which differ with a clock that goes on between two readings; speeds were then never learned. Change: the router marks the report while it records the answer. Result: the new test fails without the change's mark; tests of routing pass.

--- a/src/jujubetiller/routing/_load_report.py
+++ b/src/jujubetiller/routing/_load_report.py
@@ -41,6 +41,9 @@
     sent_since: int = 0
     """Calls that this node sent to the instance since then."""
 
+    is_new: bool = False
+    """Whether the report belongs to the answer that is being recorded."""
+
     is_refusal: bool = False
     """Whether the last report came with a refusal for lack of room."""
 
@@ -63,6 +66,7 @@
         self.wait_ms = wait_ms
         self.at_ms = now_ms
         self.sent_since = 0
+        self.is_new = True
         if room > self.highest_room:
             self.highest_room = room
         share = room / (slots or self.highest_room)
--- a/src/jujubetiller/routing/_room_weighted_pool.py
+++ b/src/jujubetiller/routing/_room_weighted_pool.py
@@ -115,7 +115,7 @@
         The report that came with the answer must have been recorded before.
         """
         load = stats.load
-        if failed and load.is_refusal and load.at_ms == now_ms:
+        if failed and load.is_refusal and load.is_new:
             return
         if failed:
             # Weights of instances that fail must not be reused for long.
@@ -123,7 +123,7 @@
                 self.weights_valid_until_ms,
                 now_ms + _latency_weighted_pool.WEIGHTS_TTL_MS,
             )
-        elif load.at_ms == now_ms:
+        elif load.is_new:
             took_ms = max(took_ms - load.wait_ms, 0.3 * took_ms)
             self.run_ms += _RUN_WEIGHT * (took_ms - self.run_ms)
             average_ms = self.times.by_kind.get(kind)
--- a/src/jujubetiller/routing/_room_weighted_router.py
+++ b/src/jujubetiller/routing/_room_weighted_router.py
@@ -33,17 +33,15 @@
         kind: str = "",
     ) -> None:
         """Record the answer to an outstanding call and the report inside it."""
-        if answer.room is not None:
-            stats = self._find(instance)
-            if stats is not None:
-                stats.load.record_report(
-                    answer.room,
-                    answer.wait_ms,
-                    stats.instance.slots,
-                    self.time_source.now_ms(),
-                )
-                stats.load.is_refusal = answer.code in _REFUSED_FOR_ROOM
+        stats = self._find(instance)
+        if answer.room is None or stats is None:
+            super().record_answer(instance, answer, took_ms, kind)
+            return
+        load, now_ms = stats.load, self.time_source.now_ms()
+        load.record_report(answer.room, answer.wait_ms, stats.instance.slots, now_ms)
+        load.is_refusal = answer.code in _REFUSED_FOR_ROOM
         super().record_answer(instance, answer, took_ms, kind)
+        load.is_new = False
 
     def read_counters(self) -> dict[str, float]:
         """Return counters of the choices by room, summed over all services."""
--- a/tests/routing/test_room_weighted_pool.py
+++ b/tests/routing/test_room_weighted_pool.py
@@ -93,6 +93,27 @@
     assert pool.stats["a-1"].failure_rate > 0.0
 
 
+class TickingClock(clock.ManualClock):
+    """A clock that goes on between two readings."""
+
+    def now_ms(self) -> float:
+        self.advance(0.01)
+        return super().now_ms()
+
+
+def test_the_wait_is_left_out_of_the_speed_with_a_clock_that_goes_on() -> None:
+    """Guards against reports that belong to an answer only at the same instant."""
+    router, pool = make_router(TickingClock(1_000.0), "a-1", "a-2")
+    for _ in range(60):
+        report(router, "a-1", -3, 40.0, took_ms=60.0)
+        report(router, "a-2", 3, 0.0, took_ms=20.0)
+        report(router, "a-2", -9, 90.0, FULL)
+    ratios = [stats.load.run_ratio for stats in pool.own_zone_stats]
+    assert ratios == pytest.approx([1.0, 1.0], abs=0.05)
+    assert pool.run_ms == pytest.approx(20.0, abs=2.0)
+    assert pool.stats["a-2"].failure_rate == 0.0
+
+
 def test_a_newcomer_gets_some_calls_at_once() -> None:
     manual_clock = clock.ManualClock(1_000.0)
     router, _ = make_router(manual_clock, "a-1")
