--- a/src/jujubetiller/mesh/_build_parts.py
+++ b/src/jujubetiller/mesh/_build_parts.py
@@ -30,6 +30,11 @@
 HOST = "host"
 """The header that names the host to which a request is addressed."""
 
+_ROUTERS: dict[str, type[routing.Router]] = {
+    "latency": routing.LatencyWeightedRouter,
+    "room": routing.RoomWeightedRouter,
+}
+
 
 def build_parts(
     reactor: Any,
@@ -43,10 +48,12 @@
     boot_clock: clock.Clock,
 ) -> _mesh_parts.MeshParts:
     """Return the components of a node, without ``pool``, ``prober`` and ``quota``."""
-    router = routing.LatencyWeightedRouter(
+    router = _ROUTERS[node_settings.features.placing](
         time_source, random_source, node_settings.routing, node_settings.zone
     )
-    guard = limits.build_guard(time_source, node_settings.limits)
+    guard = limits.build_guard(
+        time_source, node_settings.limits, node_settings.features
+    )
     configuration = _configuration_in_force.ConfigurationInForce(
         decoder, node_settings.node
     )
