Add the package for admission by cost, and a fair queue for targets

The throttles by queueing delay refuse calls deep in the call graph, where each refusal wastes the work above it. The package learns the costs of requests at a target from the times of its calls, and load factors of targets, and decides at the entry. Guards tell an observer what happens to their entries, and can use a queue with turns by team. Nothing uses them yet.

--- /dev/null
+++ b/src/jujubetiller/admission/_cost_estimator.py
@@ -0,0 +1,253 @@
+"""Estimates how many nested calls the requests at one target make."""
+
+import collections
+import math
+import random
+
+import attrs
+
+from jujubetiller import clock
+from jujubetiller.admission import _cost_table, _standard_errors
+
+TIME_CONSTANT_MS = 8_000.0
+"""Time constant with which observations lose weight."""
+
+MAX_EVENTS = 512
+"""Calls of one kind that are kept with the kinds that ran when they left."""
+
+KEPT_EVENTS_PER_S = 25.0
+"""Calls beyond this rate are sampled at random, so that the kept ones span more than
+two time constants."""
+
+MAX_KINDS = 64
+"""Kinds of requests, and kinds of nested calls; others are not estimated."""
+
+ITERATIONS = 4
+"""Steps of expectation maximisation in each update."""
+
+UPDATE_INTERVAL_MS = 1_000.0
+
+MIN_ENDS = 12.0
+"""Below this decayed number of ended requests, a kind's costs count as unknown."""
+
+MAX_RELATIVE_ERROR = 0.35
+"""A kind whose calls have a larger standard error, relative to the calls that they are
+estimated to be, counts as not distinguished from other kinds."""
+
+NEGLIGIBLE_CALLS = 0.25
+"""Calls per request up to which neither the error nor missing costs matter."""
+
+RUN_WEIGHT = 0.1
+
+
+@attrs.define
+class _Kind:
+    """What is known of the requests of one kind at the target."""
+
+    running: int = 0
+    mean_run_ms: float = 0.0
+    exposure_ms: float = 0.0
+    """Decayed sum of running time."""
+
+    ends: float = 0.0
+    """Decayed number of ended requests."""
+
+
+@attrs.define
+class _Event:
+    """A nested call that left, with the numbers of requests that ran by kind."""
+
+    at_ms: float
+    running: dict[str, int]
+
+
+@attrs.define
+class _Calls:
+    """The nested calls of one kind."""
+
+    count: float = 0.0
+    """Decayed number of calls."""
+
+    events: collections.deque[_Event] = attrs.Factory(
+        lambda: collections.deque(maxlen=MAX_EVENTS)
+    )
+    per_ms: dict[str, float] = attrs.Factory(dict)
+    """Estimated calls per running millisecond, by kind of the request."""
+
+    errors: dict[str, float] = attrs.Factory(dict)
+    """Standard errors of ``per_ms``; infinite for kinds that cannot be
+    distinguished."""
+
+
+class CostEstimator:
+    """Attributes nested calls to the kinds of requests that run at the target.
+
+    A call is taken to come from each running kind in proportion to the number of its
+    running requests times its estimated rate of such calls. The rates are fitted by
+    expectation maximisation over the recent calls. Calls that the target repeats are
+    counted, because they load the services below; attempts that nodes repeat are not.
+    """
+
+    def __init__(self, time_source: clock.Clock, random_source: random.Random) -> None:
+        self.clock = time_source
+        self.random = random_source
+        self.kinds: dict[str, _Kind] = {}
+        self.calls: dict[str, _Calls] = {}
+        self.advanced_at_ms = time_source.now_ms()
+        self.updated_at_ms = self.advanced_at_ms
+        self.over_bound = 0
+
+    def record_start(self, kind: str) -> None:
+        """Count a request that starts at the target."""
+        self.advance()
+        found = self.kinds.get(kind)
+        if found is None:
+            if len(self.kinds) >= MAX_KINDS:
+                self.over_bound += 1
+                return
+            found = self.kinds[kind] = _Kind()
+        found.running += 1
+
+    def record_end(self, kind: str, run_ms: float, succeeded: bool) -> None:
+        """Count the end of a request that started before."""
+        self.advance()
+        found = self.kinds.get(kind)
+        if found is None or not found.running:
+            return
+        found.running -= 1
+        if succeeded:
+            weight = RUN_WEIGHT if found.mean_run_ms else 1.0
+            found.mean_run_ms += weight * (run_ms - found.mean_run_ms)
+            found.ends += 1.0
+
+    def record_call(self, kind: str) -> None:
+        """Count a call that the target sends."""
+        self.advance()
+        found = self.calls.get(kind)
+        if found is None:
+            if len(self.calls) >= MAX_KINDS:
+                self.over_bound += 1
+                return
+            found = self.calls[kind] = _Calls()
+        found.count += 1.0
+        rate_per_s = found.count * 1_000.0 / TIME_CONSTANT_MS
+        if self.random.random() * rate_per_s < KEPT_EVENTS_PER_S:
+            running = {name: one.running for name, one in self.kinds.items()}
+            running = {name: number for name, number in running.items() if number}
+            if running:
+                found.events.append(_Event(self.advanced_at_ms, running))
+
+    def mean_run_ms(self, kind: str) -> float:
+        """Return the mean slot time of a kind, 0 if it is unknown."""
+        found = self.kinds.get(kind)
+        return found.mean_run_ms if found is not None else 0.0
+
+    def calls_per_request(self, kind: str) -> dict[str, float]:
+        """Return the estimated nested calls of one request, by their kind."""
+        self.update_if_due()
+        mean_ms = self.mean_run_ms(kind)
+        return {
+            call: found.per_ms.get(kind, 0.0) * mean_ms
+            for call, found in self.calls.items()
+        }
+
+    def is_reliable(self, kind: str) -> bool:
+        """Return whether the estimate for a kind may be used for decisions."""
+        found = self.kinds.get(kind)
+        if found is None or found.ends < MIN_ENDS:
+            return False
+        for call, number in self.calls_per_request(kind).items():
+            error = self.calls[call].errors.get(kind, 0.0) * found.mean_run_ms
+            if error > max(NEGLIGIBLE_CALLS, MAX_RELATIVE_ERROR * number):
+                return False
+        return True
+
+    def estimate(
+        self, service: str, kind: str, below: _cost_table.CostTable
+    ) -> dict[str, float] | None:
+        """Return the slot-milliseconds that one request takes, by service.
+
+        ``service`` is the target's own one, ``below`` the costs of the nested calls.
+        None if the estimate is not reliable, or the costs of its calls are unknown.
+        """
+        if not self.is_reliable(kind):
+            return None
+        costs = {service: self.mean_run_ms(kind)}
+        for call, number in self.calls_per_request(kind).items():
+            reported = below.find(call)
+            if reported is None:
+                if number > NEGLIGIBLE_CALLS:
+                    return None
+                continue
+            for name, cost_ms in reported.items():
+                costs[name] = costs.get(name, 0.0) + number * cost_ms
+        largest = sorted(costs, key=lambda name: -costs[name])
+        return {name: costs[name] for name in largest[: _cost_table.MAX_SERVICES]}
+
+    def advance(self) -> None:
+        """Add the running time since the last event, and let the sums decay."""
+        now_ms = self.clock.now_ms()
+        elapsed_ms = now_ms - self.advanced_at_ms
+        if elapsed_ms <= 0.0:
+            return
+        self.advanced_at_ms = now_ms
+        decay = math.exp(-elapsed_ms / TIME_CONSTANT_MS)
+        for kind in self.kinds.values():
+            kind.exposure_ms = kind.exposure_ms * decay + kind.running * elapsed_ms
+            kind.ends *= decay
+        for found in self.calls.values():
+            found.count *= decay
+
+    def update_if_due(self) -> None:
+        """Fit the rates again, if the last time is long enough ago."""
+        self.advance()
+        if self.advanced_at_ms - self.updated_at_ms < UPDATE_INTERVAL_MS:
+            return
+        self.updated_at_ms = self.advanced_at_ms
+        self._forget_unused()
+        for found in self.calls.values():
+            self._fit(found)
+
+    def _forget_unused(self) -> None:
+        for name in [n for n, kind in self.kinds.items() if not kind.running]:
+            if self.kinds[name].exposure_ms < 1e-3:
+                del self.kinds[name]
+        for name in [n for n, found in self.calls.items() if found.count < 1e-3]:
+            del self.calls[name]
+
+    def _fit(self, found: _Calls) -> None:
+        exposures = {
+            name: kind.exposure_ms
+            for name, kind in self.kinds.items()
+            if kind.exposure_ms > 1e-3
+        }
+        events = [
+            (math.exp((event.at_ms - self.advanced_at_ms) / TIME_CONSTANT_MS), event)
+            for event in found.events
+        ]
+        weight_sum = sum(weight for weight, _ in events)
+        if not exposures or weight_sum <= 0.0:
+            return
+        start = found.count / sum(exposures.values())
+        rates = {name: max(found.per_ms.get(name, start), 1e-9) for name in exposures}
+        scale = found.count / weight_sum
+        for _ in range(ITERATIONS):
+            shares = dict.fromkeys(exposures, 0.0)
+            for weight, event in events:
+                parts = {
+                    name: number * rates[name]
+                    for name, number in event.running.items()
+                    if name in rates
+                }
+                total = sum(parts.values())
+                if total > 0.0:
+                    for name, part in parts.items():
+                        shares[name] += weight * part / total
+            rates = {
+                name: max(shares[name] * scale / exposures[name], 1e-9)
+                for name in exposures
+            }
+        found.per_ms = rates
+        found.errors = _standard_errors.estimate_standard_errors(
+            rates, [(weight, event.running) for weight, event in events]
+        )
--- /dev/null
+++ b/src/jujubetiller/admission/_entry_admission.py
@@ -0,0 +1,210 @@
+"""The decision which requests an entry node admits."""
+
+import enum
+import math
+import random
+
+import attrs
+import logbook
+
+from jujubetiller import clock
+from jujubetiller.admission import _allocate, _cost_table, _load_reports
+
+_LOG = logbook.Logger("jujubetiller.admission")
+
+INTERVAL_MS = 200.0
+
+GAIN = 0.35
+"""Exponent of the reported factor: the effect of a change takes about two intervals to
+appear in reports, and the full factor would be applied more than once."""
+
+RECOVERY_FACTOR = 1.3
+"""Factor for services without a recent report."""
+
+CONVERGENCE = 0.01
+"""Part of the refused share that is admitted again in each interval. Without it, entry
+nodes that started with different fractions would keep them, as all of them multiply
+by the same factors."""
+
+MIN_FRACTION = 0.02
+
+FLOOR_PART = 0.4
+"""Minimum share of each route and team, relative to the admitted share of all requests.
+It exceeds the required quarter because some admitted requests fail."""
+
+RATE_WEIGHT = 0.25
+
+MIN_PER_S = 0.02
+"""Requests of a route and team below this rate are forgotten."""
+
+MAX_KEYS = 4_096
+"""Routes and teams; further teams are treated as one."""
+
+LOG_INTERVAL_MS = 1_000.0
+
+_OTHER_TEAMS = "\n"
+"""Stands for the teams over the bound; no team has this name."""
+
+
+class Decision(enum.Enum):
+    """Whether a request is admitted."""
+
+    ADMIT = "admit"
+    REFUSE = "refuse"
+
+    UNKNOWN = "unknown"
+    """The costs of the route are not known."""
+
+
+@attrs.define
+class _Offered:
+    """The requests of one route and team."""
+
+    priority_class: int
+    count: int = 0
+    per_s: float = 0.0
+    share: float = 1.0
+    credit: float = 0.0
+    """Admitted shares that were not used yet; a request uses 1."""
+
+
+class EntryAdmission:
+    """Admits whole requests by class and by cost at the services that are full.
+
+    For each service with a recent load factor, the admitted fraction of the offered
+    cost is moved by the factor in each interval. ``share_of`` and ``fractions`` may be
+    read at any time.
+    """
+
+    def __init__(
+        self,
+        time_source: clock.Clock,
+        random_source: random.Random,
+        costs: _cost_table.CostTable,
+        reports: _load_reports.LoadReports,
+    ) -> None:
+        self.clock = time_source
+        self.random = random_source
+        self.costs = costs
+        self.reports = reports
+        self.fractions: dict[str, float] = {}
+        """Services of which less than all offered cost is admitted."""
+
+        self.offered: dict[tuple[str, str], _Offered] = {}
+        self.advanced_at_ms = time_source.now_ms()
+        self.logged_at_ms = -math.inf
+        self.refused = 0
+        self.over_bound = 0
+
+    def decide(self, route: str, priority_class: int, team: str) -> Decision:
+        """Decide about the next request of ``route`` and ``team``."""
+        self.advance()
+        found = self.offered.get((route, team))
+        if found is None:
+            found = self._add(route, priority_class, team)
+        found.priority_class = priority_class
+        found.count += 1
+        if self.costs.find(route) is None:
+            return Decision.UNKNOWN
+        if found.share >= 1.0:
+            return Decision.ADMIT
+        found.credit += found.share
+        if found.credit >= 1.0:
+            found.credit -= 1.0
+            return Decision.ADMIT
+        self.refused += 1
+        return Decision.REFUSE
+
+    def share_of(self, route: str, team: str) -> float:
+        """Return the share of requests that is admitted."""
+        found = self.offered.get((route, team))
+        return found.share if found is not None else 1.0
+
+    def advance(self) -> None:
+        """Compute the shares again, if the interval is over."""
+        elapsed_ms = self.clock.now_ms() - self.advanced_at_ms
+        if elapsed_ms < INTERVAL_MS:
+            return
+        self.advanced_at_ms += elapsed_ms
+        self._measure(elapsed_ms)
+        self._move_fractions(elapsed_ms)
+        self._compute_shares()
+        self._log_if_due()
+
+    def _add(self, route: str, priority_class: int, team: str) -> _Offered:
+        if len(self.offered) >= MAX_KEYS:
+            self.over_bound += 1
+            team = _OTHER_TEAMS
+            if (route, team) not in self.offered:
+                self.offered.pop(next(iter(self.offered)))
+        # Random, so that the first requests of many rare routes are not all refused.
+        return self.offered.setdefault(
+            (route, team), _Offered(priority_class, credit=self.random.random())
+        )
+
+    def _measure(self, elapsed_ms: float) -> None:
+        weight = 1.0 - (1.0 - RATE_WEIGHT) ** (elapsed_ms / INTERVAL_MS)
+        for key, found in list(self.offered.items()):
+            found.per_s += weight * (found.count * 1_000.0 / elapsed_ms - found.per_s)
+            found.count = 0
+            if found.per_s < MIN_PER_S:
+                del self.offered[key]
+
+    def _move_fractions(self, elapsed_ms: float) -> None:
+        steps = min(elapsed_ms / INTERVAL_MS, 10.0)
+        factors = self.reports.read()
+        for service in self.fractions.keys() | factors.keys():
+            factor = factors.get(service, RECOVERY_FACTOR)
+            fraction = self.fractions.get(service, 1.0)
+            fraction += CONVERGENCE * steps * (1.0 - fraction) * fraction
+            # A factor that came after a pause does not describe all of the pause.
+            applied = min(steps, 2.0) if service in factors else steps
+            fraction *= factor ** (GAIN * applied)
+            if fraction >= 1.0:
+                self.fractions.pop(service, None)
+            else:
+                self.fractions[service] = max(fraction, MIN_FRACTION)
+
+    def _compute_shares(self) -> None:
+        total = sum(found.per_s for found in self.offered.values())
+        admitted = sum(found.per_s * found.share for found in self.offered.values())
+        floor = FLOOR_PART * (admitted / total if total else 1.0)
+        for found in self.offered.values():
+            found.share = 1.0
+        for service, fraction in self.fractions.items():
+            offers = []
+            for (route, team), found in self.offered.items():
+                cost_ms = (self.costs.find(route) or {}).get(service, 0.0)
+                if cost_ms > 0.0:
+                    offers.append(
+                        _allocate.Offer(
+                            route, team, found.priority_class, found.per_s, cost_ms
+                        )
+                    )
+            for key, share in _allocate.allocate(offers, fraction, floor).items():
+                self.offered[key].share = min(self.offered[key].share, share)
+
+    def _log_if_due(self) -> None:
+        now_ms = self.clock.now_ms()
+        if not self.fractions or now_ms - self.logged_at_ms < LOG_INTERVAL_MS:
+            return
+        self.logged_at_ms = now_ms
+        lowest = sorted(self.offered.items(), key=lambda item: item[1].share)[:8]
+        _LOG.info(
+            "requests are admitted by cost",
+            extra={
+                "fractions": {n: round(f, 3) for n, f in self.fractions.items()},
+                "factors": {n: round(f, 3) for n, f in self.reports.read().items()},
+                "lowest_shares": [
+                    {
+                        "route": route,
+                        "team": team,
+                        "class": found.priority_class,
+                        "per_s": round(found.per_s, 2),
+                        "share": round(found.share, 3),
+                    }
+                    for (route, team), found in lowest
+                ],
+                "refused": self.refused,
+            },
+        )
--- a/src/jujubetiller/limits/__init__.py
+++ b/src/jujubetiller/limits/__init__.py
@@ -7,9 +7,11 @@
 from jujubetiller.limits._arrival_queue_order import ArrivalQueueOrder
 from jujubetiller.limits._build_guard import build_guard
 from jujubetiller.limits._build_policy import build_order, build_policy
+from jujubetiller.limits._fair_admission_queue import FairAdmissionQueue
 from jujubetiller.limits._fixed_limit_policy import FixedLimitPolicy
 from jujubetiller.limits._gradient_limit_policy import GradientLimitPolicy
 from jujubetiller.limits._guard_entry import EntryState, GuardEntry
+from jujubetiller.limits._guard_observer import GuardObserver
 from jujubetiller.limits._guard_timer import GuardTimer
 from jujubetiller.limits._latency_sample import LatencySample
 from jujubetiller.limits._limit_policy import LimitPolicy
@@ -30,9 +32,11 @@
     "AdmissionQueue",
     "ArrivalQueueOrder",
     "EntryState",
+    "FairAdmissionQueue",
     "FixedLimitPolicy",
     "GradientLimitPolicy",
     "GuardEntry",
+    "GuardObserver",
     "GuardTimer",
     "LatencySample",
     "LimitPolicy",
--- a/src/jujubetiller/limits/_admission_queue.py
+++ b/src/jujubetiller/limits/_admission_queue.py
@@ -41,9 +41,9 @@
         entry.bucket = self.order.bucket(entry)
         evicted = None
         if self.length >= self.capacity:
-            if not self._may_evict_for(entry.bucket):
+            evicted = self._choose_evicted(entry)
+            if evicted is entry:
                 return entry
-            evicted = next(iter(self.buckets[self.sorted_buckets[-1]]))
             self.remove(evicted)
         self._bucket(entry.bucket)[entry] = None
         entry.state = _QUEUED
@@ -58,6 +58,13 @@
             bisect.insort(self.sorted_buckets, number)
         return bucket
 
+    def _choose_evicted(
+        self, entry: _guard_entry.GuardEntry
+    ) -> _guard_entry.GuardEntry:
+        if not self._may_evict_for(entry.bucket):
+            return entry
+        return next(iter(self.buckets[self.sorted_buckets[-1]]))
+
     def _may_evict_for(self, bucket: int) -> bool:
         if not self.sorted_buckets:
             return False
--- /dev/null
+++ b/src/jujubetiller/limits/_fair_admission_queue.py
@@ -0,0 +1,62 @@
+"""A queue that serves the teams of a priority class in turn."""
+
+import collections
+
+from jujubetiller.limits import _admission_queue, _fair_queue_order, _guard_entry
+
+_Entries = collections.OrderedDict[_guard_entry.GuardEntry, None]
+
+
+class FairAdmissionQueue(_admission_queue.AdmissionQueue):
+    """Starts the oldest entry of each team in turn, within the first bucket.
+
+    A full queue evicts the newest entry of the team that has the most in the last
+    bucket.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        super().__init__(_fair_queue_order.FairQueueOrder(), capacity)
+        # By bucket, the teams that have entries in it; the one whose turn it is first.
+        self.teams: dict[int, collections.OrderedDict[str, _Entries]] = {}
+
+    def push(self, entry: _guard_entry.GuardEntry) -> _guard_entry.GuardEntry | None:
+        """Add ``entry`` and return the evicted entry, if any, which may be itself."""
+        evicted = super().push(entry)
+        if evicted is not entry:
+            teams = self.teams.setdefault(entry.bucket, collections.OrderedDict())
+            teams.setdefault(entry.team, collections.OrderedDict())[entry] = None
+        return evicted
+
+    def pop(self, congested: bool) -> _guard_entry.GuardEntry | None:
+        """Remove and return the oldest entry of the team whose turn it is."""
+        if not self.length:
+            return None
+        teams = self.teams[self.sorted_buckets[0]]
+        team = next(iter(teams))
+        teams.move_to_end(team)
+        entry = next(iter(teams[team]))
+        self.remove(entry)
+        return entry
+
+    def remove(self, entry: _guard_entry.GuardEntry) -> None:
+        """Remove a queued entry and set its state to ended."""
+        teams = self.teams[entry.bucket]
+        del teams[entry.team][entry]
+        if not teams[entry.team]:
+            del teams[entry.team]
+        if not teams:
+            del self.teams[entry.bucket]
+        super().remove(entry)
+
+    def _choose_evicted(
+        self, entry: _guard_entry.GuardEntry
+    ) -> _guard_entry.GuardEntry:
+        if not self.sorted_buckets or entry.bucket > self.sorted_buckets[-1]:
+            return entry
+        worst = self.sorted_buckets[-1]
+        teams = self.teams[worst]
+        longest = max(teams.values(), key=len)
+        of_team = teams.get(entry.team, ())
+        if entry.bucket == worst and len(of_team) >= len(longest):
+            return entry
+        return next(reversed(longest))
--- a/src/jujubetiller/limits/_guard_entry.py
+++ b/src/jujubetiller/limits/_guard_entry.py
@@ -54,6 +54,15 @@
     expires_at_ms: float = 0.0
     """Set by the guard: when the entry is refused if it is still queued."""
 
+    team: str = ""
+    """Name of the team that sent the request; empty for none."""
+
+    is_nested: bool = False
+    """Whether a running request waits for the call."""
+
+    was_shed: bool = False
+    """Set by the node before ``finished``: whether the target itself shed the call."""
+
     bucket: int = 0
     """Set by the queue: the bucket number that the queue order returned."""
 
--- a/src/jujubetiller/limits/_target_guard.py
+++ b/src/jujubetiller/limits/_target_guard.py
@@ -8,6 +8,7 @@
 from jujubetiller.limits import (
     _admission_queue,
     _guard_entry,
+    _guard_observer,
     _latency_sample,
     _limit_policy,
     _queue_order,
@@ -61,6 +62,7 @@
         self.mean_run_ms = 0.0
         """Moving average of the run time of calls of all kinds."""
 
+        self.observer = _guard_observer.GuardObserver()
         self.is_starting = False
         self.rate_limit = _rate_limit.RateLimit(time_source)
         self.offers = _rate_meter.RateMeter(time_source, RATE_TIME_CONSTANT_MS)
@@ -83,6 +85,7 @@
         now_ms = self.clock.now_ms()
         entry.enqueued_at_ms = now_ms
         self.offers.record()
+        self.observer.offered(entry)
         if self.draining:
             self._refuse(entry, _Code.DRAINING, now_ms)
             return
@@ -122,6 +125,7 @@
             self.estimates.record(entry.kind, run_ms, now_ms)
             self.mean_run_ms += _RUN_WEIGHT * (run_ms - self.mean_run_ms)
         self.policy.record(sample)
+        self.observer.ended(entry, succeeded)
         self.limit = min(self.slots, self.policy.current_limit())
         if self.queue.length and not self.is_starting:
             self._start_waiting(now_ms)
@@ -135,6 +139,7 @@
             return
         entry.state = _State.ENDED
         self.in_flight -= 1
+        self.observer.ended(entry, None)
         if self.queue.length and not self.is_starting:
             self._start_waiting(self.clock.now_ms())
 
@@ -273,6 +278,7 @@
         self.starts.record()
         self.rate_limiter.record_start()
         self.refusal_level.record_start()
+        self.observer.started(entry)
         entry.call_start()
 
     def _refuse(
