Decide about requests by cost where settings ask for it

With features.admission set to cost, the entry node decides by the costs and load factors that answers report, before the route's throttle, which still decides while the costs of a route are unknown. Retry-After grows with the refused share. The default, delay, is unchanged.

--- a/src/jujubetiller/admission/_allocate.py
+++ b/src/jujubetiller/admission/_allocate.py
@@ -27,6 +27,19 @@
         return self.per_s * self.cost_ms
 
 
+NEGLIGIBLE_COST = 0.05
+"""Costs below this part of the mean cost are within the error of the estimates."""
+
+
+def drop_negligible(offers: Sequence[Offer]) -> list[Offer]:
+    """Return the offers whose requests take a noticeable part of the service."""
+    per_s = sum(offer.per_s for offer in offers)
+    load = sum(offer.load for offer in offers)
+    return [
+        offer for offer in offers if offer.cost_ms * per_s >= NEGLIGIBLE_COST * load
+    ]
+
+
 def allocate(
     offers: Sequence[Offer], fraction: float, floor: float
 ) -> dict[tuple[str, str], float]:
--- a/src/jujubetiller/admission/_cost_estimator.py
+++ b/src/jujubetiller/admission/_cost_estimator.py
@@ -31,11 +31,11 @@
 """Below this decayed number of ended requests, a kind's costs count as unknown."""
 
 MAX_RELATIVE_ERROR = 0.35
-"""A kind whose calls have a larger standard error, relative to the calls that they are
-estimated to be, counts as not distinguished from other kinds."""
+"""A kind counts as not distinguished from others if the standard error of its cost,
+relative to its cost or to the mean cost of requests at the target, is larger."""
 
 NEGLIGIBLE_CALLS = 0.25
-"""Calls per request up to which neither the error nor missing costs matter."""
+"""Calls per request up to which their costs need not be known."""
 
 RUN_WEIGHT = 0.1
 
@@ -76,7 +76,7 @@
 
     errors: dict[str, float] = attrs.Factory(dict)
     """Standard errors of ``per_ms``; infinite for kinds that cannot be
-    distinguished."""
+    distinguished. Kinds that were not fitted yet are missing."""
 
 
 class CostEstimator:
@@ -151,17 +151,6 @@
             for call, found in self.calls.items()
         }
 
-    def is_reliable(self, kind: str) -> bool:
-        """Return whether the estimate for a kind may be used for decisions."""
-        found = self.kinds.get(kind)
-        if found is None or found.ends < MIN_ENDS:
-            return False
-        for call, number in self.calls_per_request(kind).items():
-            error = self.calls[call].errors.get(kind, 0.0) * found.mean_run_ms
-            if error > max(NEGLIGIBLE_CALLS, MAX_RELATIVE_ERROR * number):
-                return False
-        return True
-
     def estimate(
         self, service: str, kind: str, below: _cost_table.CostTable
     ) -> dict[str, float] | None:
@@ -170,20 +159,37 @@
         ``service`` is the target's own one, ``below`` the costs of the nested calls.
         None if the estimate is not reliable, or the costs of its calls are unknown.
         """
-        if not self.is_reliable(kind):
+        found = self.kinds.get(kind)
+        if found is None or found.ends < MIN_ENDS:
             return None
-        costs = {service: self.mean_run_ms(kind)}
+        costs = {service: found.mean_run_ms}
+        error_ms = 0.0
         for call, number in self.calls_per_request(kind).items():
+            error = self.calls[call].errors.get(kind, math.inf) * found.mean_run_ms
             reported = below.find(call)
             if reported is None:
-                if number > NEGLIGIBLE_CALLS:
+                if max(number, error) > NEGLIGIBLE_CALLS:
                     return None
                 continue
+            error_ms += error * sum(reported.values())
+            if number <= error:
+                continue
             for name, cost_ms in reported.items():
                 costs[name] = costs.get(name, 0.0) + number * cost_ms
+        usual_ms = max(sum(costs.values()), self._mean_cost_ms(below))
+        if not error_ms <= MAX_RELATIVE_ERROR * usual_ms:
+            return None
         largest = sorted(costs, key=lambda name: -costs[name])
         return {name: costs[name] for name in largest[: _cost_table.MAX_SERVICES]}
 
+    def _mean_cost_ms(self, below: _cost_table.CostTable) -> float:
+        """Return the mean slot time, at all services, of a request at the target."""
+        ends = sum(kind.ends for kind in self.kinds.values())
+        cost_ms = sum(kind.exposure_ms for kind in self.kinds.values())
+        for call, found in self.calls.items():
+            cost_ms += found.count * sum((below.find(call) or {}).values())
+        return cost_ms / ends if ends else 0.0
+
     def advance(self) -> None:
         """Add the running time since the last event, and let the sums decay."""
         now_ms = self.clock.now_ms()
@@ -248,6 +254,8 @@
                 for name in exposures
             }
         found.per_ms = rates
-        found.errors = _standard_errors.estimate_standard_errors(
+        # A kind that never ran when a call left may have made the next one.
+        found.errors = {name: 1.0 / exposures[name] for name in exposures}
+        found.errors |= _standard_errors.estimate_standard_errors(
             rates, [(weight, event.running) for weight, event in events]
         )
--- a/src/jujubetiller/admission/_entry_admission.py
+++ b/src/jujubetiller/admission/_entry_admission.py
@@ -14,12 +14,23 @@
 
 INTERVAL_MS = 200.0
 
-GAIN = 0.35
-"""Exponent of the reported factor: the effect of a change takes about two intervals to
-appear in reports, and the full factor would be applied more than once."""
+GAIN = 0.4
+"""Part of the difference to the fraction that the reports call for, by which a fraction
+moves in an interval."""
 
-RECOVERY_FACTOR = 1.3
-"""Factor for services without a recent report."""
+REPORT_LAG_MS = 700.0
+"""Usual time until reports show the effect of a changed fraction: nested calls leave
+while their request runs, and reports average over windows. A factor is applied to the
+fraction at that time; applied to the present one, it would act more than once."""
+
+RECOVERY_FACTOR = 1.1
+"""Factor by which the fraction of a service without a recent report grows in each
+interval, so that it is back at 1 within seconds."""
+
+MAX_RECOVERY_STEPS = 20.0
+"""A node without requests for long need not compute larger powers."""
+
+FULL_FRACTION = 0.995
 
 CONVERGENCE = 0.01
 """Part of the refused share that is admitted again in each interval. Without it, entry
@@ -90,6 +101,9 @@
         self.fractions: dict[str, float] = {}
         """Services of which less than all offered cost is admitted."""
 
+        self.lagged: dict[str, float] = {}
+        """The fractions that the reports are about."""
+
         self.offered: dict[tuple[str, str], _Offered] = {}
         self.advanced_at_ms = time_source.now_ms()
         self.logged_at_ms = -math.inf
@@ -151,19 +165,27 @@
                 del self.offered[key]
 
     def _move_fractions(self, elapsed_ms: float) -> None:
-        steps = min(elapsed_ms / INTERVAL_MS, 10.0)
         factors = self.reports.read()
+        steps = elapsed_ms / INTERVAL_MS
+        moved = 1.0 - (1.0 - GAIN) ** steps
+        lag_weight = 1.0 - math.exp(-elapsed_ms / REPORT_LAG_MS)
         for service in self.fractions.keys() | factors.keys():
-            factor = factors.get(service, RECOVERY_FACTOR)
             fraction = self.fractions.get(service, 1.0)
-            fraction += CONVERGENCE * steps * (1.0 - fraction) * fraction
-            # A factor that came after a pause does not describe all of the pause.
-            applied = min(steps, 2.0) if service in factors else steps
-            fraction *= factor ** (GAIN * applied)
-            if fraction >= 1.0:
+            lagged = self.lagged.get(service, 1.0)
+            if service in factors:
+                wanted = min(lagged * factors[service], 1.0)
+                fraction += moved * (wanted - fraction)
+            else:
+                fraction *= RECOVERY_FACTOR ** min(steps, MAX_RECOVERY_STEPS)
+            fraction += CONVERGENCE * min(steps, 1.0) * (1.0 - fraction) * fraction
+            fraction = min(max(fraction, MIN_FRACTION), 1.0)
+            lagged += lag_weight * (fraction - lagged)
+            if fraction > FULL_FRACTION and lagged > FULL_FRACTION:
                 self.fractions.pop(service, None)
+                self.lagged.pop(service, None)
             else:
-                self.fractions[service] = max(fraction, MIN_FRACTION)
+                self.fractions[service] = fraction
+                self.lagged[service] = lagged
 
     def _compute_shares(self) -> None:
         total = sum(found.per_s for found in self.offered.values())
@@ -181,6 +203,7 @@
                             route, team, found.priority_class, found.per_s, cost_ms
                         )
                     )
+            offers = _allocate.drop_negligible(offers)
             for key, share in _allocate.allocate(offers, fraction, floor).items():
                 self.offered[key].share = min(self.offered[key].share, share)
 
--- a/src/jujubetiller/admission/_load_reports.py
+++ b/src/jujubetiller/admission/_load_reports.py
@@ -9,7 +9,7 @@
 REPORT_WEIGHT = 0.1
 """Minimum weight of one report: each comes from one of the instances of its service."""
 
-TIME_CONSTANT_MS = 250.0
+TIME_CONSTANT_MS = 100.0
 """Reports that come less often than this weigh more: older ones describe another
 load."""
 
--- a/src/jujubetiller/admission/_target_load.py
+++ b/src/jujubetiller/admission/_target_load.py
@@ -6,13 +6,13 @@
 
 WINDOW_MS = 150.0
 
-WINDOW_WEIGHT = 0.4
+WINDOW_WEIGHT = 0.6
 
-GOAL = 0.95
+GOAL = 0.92
 """Part of the target's slot time that offered calls are to fill. Fuller targets queue
 calls for longer than they run."""
 
-DRAINED_PART = 0.25
+DRAINED_PART = 0.15
 """Part of the queue's work that is to be drained in one window."""
 
 TOLERATED_WAIT_MS = 15.0
--- a/src/jujubetiller/limits/_fair_admission_queue.py
+++ b/src/jujubetiller/limits/_fair_admission_queue.py
@@ -7,15 +7,21 @@
 _Entries = collections.OrderedDict[_guard_entry.GuardEntry, None]
 
 
+FLOOR_INTERVAL = 8
+"""Each of this many starts is of the last bucket: without it, calls of the least
+important requests that entry nodes admitted would fail after using other services."""
+
+
 class FairAdmissionQueue(_admission_queue.AdmissionQueue):
     """Starts the oldest entry of each team in turn, within the first bucket.
 
-    A full queue evicts the newest entry of the team that has the most in the last
-    bucket.
+    Each ``FLOOR_INTERVAL``-th start is of the last bucket instead. A full queue evicts
+    the newest entry of the team that has the most in the last bucket.
     """
 
     def __init__(self, capacity: int) -> None:
         super().__init__(_fair_queue_order.FairQueueOrder(), capacity)
+        self.starts = 0
         # By bucket, the teams that have entries in it; the one whose turn it is first.
         self.teams: dict[int, collections.OrderedDict[str, _Entries]] = {}
 
@@ -31,7 +37,9 @@
         """Remove and return the oldest entry of the team whose turn it is."""
         if not self.length:
             return None
-        teams = self.teams[self.sorted_buckets[0]]
+        self.starts += 1
+        is_floor = self.starts % FLOOR_INTERVAL == 0
+        teams = self.teams[self.sorted_buckets[-1 if is_floor else 0]]
         team = next(iter(teams))
         teams.move_to_end(team)
         entry = next(iter(teams[team]))
--- a/src/jujubetiller/limits/_target_guard.py
+++ b/src/jujubetiller/limits/_target_guard.py
@@ -223,7 +223,8 @@
             self.queue_nonempty_since_ms = now_ms
         longest_wait_ms = self.settings.queue_wait_ms
         level = self.refusal_level.level
-        fits = level is None or entry.rank <= level
+        # A refused nested call would waste the work of the request that waits for it.
+        fits = level is None or entry.rank <= level or entry.is_nested
         if not fits and self.is_congested(now_ms):
             longest_wait_ms = min(longest_wait_ms, self.settings.congested_wait_ms)
         entry.expires_at_ms = min(
--- a/src/jujubetiller/mesh/_build_parts.py
+++ b/src/jujubetiller/mesh/_build_parts.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from jujubetiller import (
+    admission,
     clock,
     congestion,
     crashes,
@@ -95,4 +96,7 @@
         delays=congestion.PeakDelay(time_source),
         callers=congestion.CallerShares(),
         throttles=congestion.Throttles(time_source, random_source),
+        admission=admission.build_node_admission(
+            node_settings, time_source, random_source, guard
+        ),
     )
--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -10,6 +10,7 @@
 from jujubetiller.mesh import (
     _attempt_policy,
     _call_reports,
+    _entry_decision,
     _ingress_call,
     _mesh_parts,
     _overdue_timer,
@@ -86,8 +87,7 @@
         if not self.parts.can_finish_request(self.service, self.route, self.deadline):
             self.finish(calls.make_refusal(_Code.DRAINING))
             return
-        if not self.throttle.admits():
-            self.parts.throttles.refused += 1
+        if not _entry_decision.admits(self.parts, self.throttle, self.request):
             self.finish(calls.make_refusal(_Code.OVERLOADED_DOWNSTREAM))
             return
         self.parts.budget.record_request(self.service)
@@ -179,6 +179,7 @@
         )
         self.parts.delays.record(answer.queue_delay_ms)
         self.queue_delay_ms = max(self.queue_delay_ms, answer.queue_delay_ms)
+        _entry_decision.record_answer(self.parts, self.throttle, self.request, answer)
         if answer.code is _Code.ANSWERED:
             self.throttle.exempt = answer.is_nested
             self.failed_answer = answer
@@ -205,7 +206,11 @@
         if answer.outcome is codes.Outcome.NOT_RUN and self.failed_answer is not None:
             # The retry did not run, but an earlier attempt did.
             answer = self.failed_answer
-        edge_reply = _replies.render_answer(answer, self.parts.random)
+        edge_reply = _replies.render_answer(
+            answer,
+            self.parts.random,
+            _entry_decision.refused_share(self.parts, self.request, answer),
+        )
         _request_end.report_end(
             self.parts, self.throttle, self.summarize(), answer, edge_reply.status
         )
--- /dev/null
+++ b/src/jujubetiller/mesh/_entry_decision.py
@@ -0,0 +1,55 @@
+"""The decision whether a request is sent, by cost or by queueing delay."""
+
+from jujubetiller import admission, calls, codes, congestion
+from jujubetiller.mesh import _mesh_parts
+
+
+def admits(
+    parts: _mesh_parts.MeshParts,
+    throttle: congestion.RouteThrottle,
+    request: calls.CallRequest,
+) -> bool:
+    """Return whether ``request`` may be sent; calls of the own target always may.
+
+    The route's throttle decides if requests are not admitted by cost, and while the
+    costs of the route are not known.
+    """
+    by_cost = parts.admission
+    if by_cost is not None:
+        if throttle.exempt and not request.team:
+            by_cost.estimator.record_call(request.kind)
+            return True
+        decision = by_cost.entry.decide(
+            request.kind, request.priority_class, request.team
+        )
+        if decision is not admission.Decision.UNKNOWN:
+            return decision is admission.Decision.ADMIT
+    if throttle.admits():
+        return True
+    parts.throttles.refused += 1
+    return False
+
+
+def record_answer(
+    parts: _mesh_parts.MeshParts,
+    throttle: congestion.RouteThrottle,
+    request: calls.CallRequest,
+    answer: calls.CallAnswer,
+) -> None:
+    """Record the costs and loads that an answer reports."""
+    if parts.admission is not None:
+        is_nested = throttle.exempt and not request.team
+        parts.admission.record_answer(request.kind, answer, is_nested)
+
+
+def refused_share(
+    parts: _mesh_parts.MeshParts,
+    request: calls.CallRequest,
+    answer: calls.CallAnswer,
+) -> float:
+    """Return the share of such requests that is refused, if the answer refuses one."""
+    if parts.admission is None:
+        return 0.0
+    if answer.code is not codes.ResultCode.OVERLOADED_DOWNSTREAM:
+        return 0.0
+    return 1.0 - parts.admission.entry.share_of(request.kind, request.team)
--- a/src/jujubetiller/mesh/_ingress_call.py
+++ b/src/jujubetiller/mesh/_ingress_call.py
@@ -56,6 +56,8 @@
             start=self.start,
             refuse=self.refuse,
             kind=request.kind,
+            team=request.team,
+            is_nested=parts.admission is not None and self.is_nested(),
         )
 
     def begin(self) -> None:
@@ -125,6 +127,7 @@
         """Free the guard's slot and answer with the target's response."""
         code = self.classify(response)
         self.record_notices(code, response)
+        self.entry.was_shed = code is _Code.TARGET_SHED
         self.parts.guard.finished(self.entry, code is _Code.ANSWERED)
         if code is _Code.TARGET_CLOSED_EARLY:
             self.report_lost()
@@ -211,6 +214,8 @@
         if reply is not None:
             answer.queue_delay_ms = self.parts.delays.read()
             answer.is_nested = self.is_nested()
+            if self.parts.admission is not None:
+                self.parts.admission.add_to_answer(self.request.kind, answer)
             self.parts.notices.add_to_answer(self.request.expected_instance, answer)
             reply(answer)
 
--- a/src/jujubetiller/mesh/_mesh_counters.py
+++ b/src/jujubetiller/mesh/_mesh_counters.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from jujubetiller import crashes, metrics, notices, published
+from jujubetiller import admission, crashes, metrics, notices, published
 from jujubetiller.mesh import _mesh_parts, _store_reading
 
 
@@ -57,6 +57,7 @@
         "Published items and answers that were not applied, by reason.",
         lambda: read_published(parts, state, source),
     )
+    yield from admission.make_groups(parts.admission)
     yield from notices.make_groups(parts.guard, parts.notices)
     yield from crashes.make_groups(parts.containment, parts.watch)
     yield metrics.CounterGroup(
--- a/src/jujubetiller/mesh/_mesh_parts.py
+++ b/src/jujubetiller/mesh/_mesh_parts.py
@@ -6,6 +6,7 @@
 import attrs
 
 from jujubetiller import (
+    admission,
     calls,
     clock,
     congestion,
@@ -62,6 +63,9 @@
     delays: congestion.PeakDelay
     callers: congestion.CallerShares
     throttles: congestion.Throttles
+    admission: admission.NodeAdmission | None
+    """None unless the settings ask for admission by cost."""
+
     pool: streams.StreamPool = attrs.field(init=False)
     prober: "_peer_prober.PeerProber" = attrs.field(init=False)
 
--- a/src/jujubetiller/mesh/_replies.py
+++ b/src/jujubetiller/mesh/_replies.py
@@ -12,6 +12,10 @@
 RETRY_AFTER_SPREAD_MS = 700.0
 """Retries of clients that were refused together are spread over this time."""
 
+OVERLOADED_PAUSE_FACTOR = 4.0
+"""What is added to the factor 1 of the pause when all requests of a route are refused
+at their entry: the more are refused, the longer clients wait and spread out."""
+
 RATE_LIMITED_PAUSE_FACTOR = 2.0
 """A rate limit lasts longer than a full queue, so clients are told to wait longer."""
 
@@ -23,16 +27,25 @@
 
 
 def render_answer(
-    answer: calls.CallAnswer, random_source: random.Random
+    answer: calls.CallAnswer,
+    random_source: random.Random,
+    refused_share: float = 0.0,
 ) -> edge.EdgeReply:
-    """Return the reply to a client for ``answer``."""
+    """Return the reply to a client for ``answer``.
+
+    ``refused_share`` is the part of such requests that is refused at the entry, by
+    which the ``Retry-After`` grows.
+    """
     if answer.outcome is codes.Outcome.ANSWERED:
         return edge.EdgeReply(answer.status, list(answer.headers), answer.body)
-    return render_refusal(answer.code, "", random_source)
+    return render_refusal(answer.code, "", random_source, refused_share)
 
 
 def render_refusal(
-    code: codes.ResultCode, detail: str, random_source: random.Random
+    code: codes.ResultCode,
+    detail: str,
+    random_source: random.Random,
+    refused_share: float = 0.0,
 ) -> edge.EdgeReply:
     """Return the node's own reply to a request that has no response of a target.
 
@@ -46,6 +59,7 @@
     headers = [_TEXT_TYPE, ("Jujubetiller-Code", str(code.value))]
     if status == _RETRY_STATUS and entry.outcome is _NOT_RUN:
         pause_ms = MIN_RETRY_AFTER_MS + RETRY_AFTER_SPREAD_MS * random_source.random()
+        pause_ms *= 1.0 + OVERLOADED_PAUSE_FACTOR * refused_share
         if code is codes.ResultCode.RATE_LIMITED:
             pause_ms *= RATE_LIMITED_PAUSE_FACTOR
         if code is codes.ResultCode.REQUEST_CRASHES_TARGETS:
