--- a/src/jujubetiller/admission/_node_admission.py
+++ b/src/jujubetiller/admission/_node_admission.py
@@ -3,6 +3,7 @@
 import random
 
 import attrs
+import logbook
 
 from jujubetiller import calls, clock, limits
 from jujubetiller.admission import (
@@ -13,6 +14,10 @@
     _target_load,
 )
 
+_LOG = logbook.Logger("jujubetiller.admission")
+
+LOG_INTERVAL_MS = 1_000.0
+
 COSTS_EACH_ANSWERS = 8
 """Unchanged costs go with one of this many answers of their kind."""
 
@@ -75,6 +80,7 @@
         self.estimator = _cost_estimator.CostEstimator(time_source, random_source)
         self.load = _target_load.TargetLoad(time_source)
         self.reported: dict[str, _Reported] = {}
+        self.logged_at_ms = time_source.now_ms()
         guard.queue = limits.FairAdmissionQueue(guard.queue.capacity)
         guard.observer = self
 
@@ -108,6 +114,25 @@
             guard.queue.capacity = min(
                 guard.settings.queue_length, max(useful, MIN_QUEUE_LENGTH)
             )
+        self.log_overload()
+
+    def log_overload(self) -> None:
+        """Write, once a second, that the target is offered more than it takes."""
+        now_ms = self.clock.now_ms()
+        if self.load.factor >= 1.0 or now_ms - self.logged_at_ms < LOG_INTERVAL_MS:
+            return
+        self.logged_at_ms = now_ms
+        _LOG.info(
+            "target is offered more than it takes",
+            extra={
+                "load": round(self.load.load, 3),
+                "factor": round(self.load.factor, 3),
+                "shed_share": round(self.load.shed_share, 3),
+                "limit": self.guard.limit,
+                "queue_length": self.guard.queue_length,
+                "run_ms": round(self.guard.mean_run_ms, 1),
+            },
+        )
 
     def record_answer(
         self, kind: str, answer: calls.CallAnswer, is_nested: bool
@@ -148,6 +173,14 @@
             costs = self.estimator.estimate(self.service, kind, self.costs) or {}
             found.costs = tuple((name, round(ms, 2)) for name, ms in costs.items())
             if has_changed(found.reported_costs, found.costs):
+                _LOG.info(
+                    "costs of a kind changed",
+                    extra={
+                        "kind": kind,
+                        "costs_ms": dict(found.costs),
+                        "before_ms": dict(found.reported_costs),
+                    },
+                )
                 found.reported_costs = found.costs
                 found.answers_of_change = ANSWERS_OF_CHANGE
         if found.answers_of_change:
--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -87,7 +87,13 @@
         if not self.parts.can_finish_request(self.service, self.route, self.deadline):
             self.finish(calls.make_refusal(_Code.DRAINING))
             return
-        if not _entry_decision.admits(self.parts, self.throttle, self.request):
+        if not _entry_decision.admits(
+            self.parts,
+            self.throttle,
+            self.route.name,
+            self.request.priority_class,
+            self.request.team,
+        ):
             self.finish(calls.make_refusal(_Code.OVERLOADED_DOWNSTREAM))
             return
         self.parts.budget.record_request(self.service)
@@ -227,6 +233,9 @@
             took_ms=self.parts.clock.now_ms() - self.started_at_ms,
             left_ms=self.deadline.left_ms(self.parts.clock),
             queue_delay_ms=self.queue_delay_ms,
+            admitted_share=_entry_decision.admitted_share(
+                self.parts, self.throttle, self.route.name, self.request.team
+            ),
         )
 
     def cancel(self) -> None:
--- a/src/jujubetiller/mesh/_entry_decision.py
+++ b/src/jujubetiller/mesh/_entry_decision.py
@@ -7,21 +7,21 @@
 def admits(
     parts: _mesh_parts.MeshParts,
     throttle: congestion.RouteThrottle,
-    request: calls.CallRequest,
+    route: str,
+    priority_class: int,
+    team: str,
 ) -> bool:
-    """Return whether ``request`` may be sent; calls of the own target always may.
+    """Return whether a request of ``route`` may be sent; calls of the own target may.
 
     The route's throttle decides if requests are not admitted by cost, and while the
     costs of the route are not known.
     """
     by_cost = parts.admission
     if by_cost is not None:
-        if throttle.exempt and not request.team:
-            by_cost.estimator.record_call(request.kind)
+        if throttle.exempt and not team:
+            by_cost.estimator.record_call(route)
             return True
-        decision = by_cost.entry.decide(
-            request.kind, request.priority_class, request.team
-        )
+        decision = by_cost.entry.decide(route, priority_class, team)
         if decision is not admission.Decision.UNKNOWN:
             return decision is admission.Decision.ADMIT
     if throttle.admits():
@@ -42,6 +42,18 @@
         parts.admission.record_answer(request.kind, answer, is_nested)
 
 
+def admitted_share(
+    parts: _mesh_parts.MeshParts,
+    throttle: congestion.RouteThrottle,
+    kind: str,
+    team: str,
+) -> float:
+    """Return the share of requests that is admitted at present."""
+    if parts.admission is None:
+        return throttle.share
+    return min(throttle.share, parts.admission.entry.share_of(kind, team))
+
+
 def refused_share(
     parts: _mesh_parts.MeshParts,
     request: calls.CallRequest,
--- a/src/jujubetiller/mesh/_request_end.py
+++ b/src/jujubetiller/mesh/_request_end.py
@@ -29,6 +29,9 @@
     queue_delay_ms: float
     """The longest queueing delay that answers to the request reported."""
 
+    admitted_share: float
+    """Share of such requests that the node admits."""
+
 
 def report_end(
     parts: _mesh_parts.MeshParts,
@@ -46,7 +49,7 @@
     parts.metrics.observe_call(summary.took_ms)
     parts.metrics.count_outcome(route.name, route.priority_class, answer.outcome)
     parts.metrics.count_refusal(answer.code.value)
-    _log_unless_usual(parts, throttle, summary, answer, status)
+    _log_unless_usual(parts, summary, answer, status)
     if summary.tried and _call_reports.shows_load(answer.code):
         failure = _call_reports.weigh_failure(
             status, summary.took_ms, route.latency_objective_ms
@@ -56,7 +59,6 @@
 
 def _log_unless_usual(
     parts: _mesh_parts.MeshParts,
-    throttle: congestion.RouteThrottle,
     summary: RequestSummary,
     answer: calls.CallAnswer,
     status: int,
@@ -78,7 +80,7 @@
             took_ms=summary.took_ms,
             left_ms=summary.left_ms,
             queue_delay_ms=summary.queue_delay_ms,
-            admitted_share=throttle.share,
+            admitted_share=summary.admitted_share,
             version=parts.configuration.version,
         )
     )
--- a/tests/mesh/local_mesh.py
+++ b/tests/mesh/local_mesh.py
@@ -19,6 +19,7 @@
 HOSTS = {OWN: "127.0.0.1", FIRST: "127.0.0.2", SECOND: "127.0.0.3"}
 SERVICES = {OWN: "ledger", FIRST: "booth", SECOND: "booth"}
 PEER_PORT = 7620
+DEFAULT_FEATURES = settings.FeatureSettings()
 
 
 class FixedSource(published.ItemSource):
@@ -44,7 +45,7 @@
 class LocalMesh:
     """A node of the ledger that knows its own instance and two booths."""
 
-    def __init__(self) -> None:
+    def __init__(self, features: settings.FeatureSettings = DEFAULT_FEATURES) -> None:
         self.reactor = task.Clock()
         self.reactor.advance(1_000.0)
         self.clock = reactor_clock.ReactorClock(self.reactor)
@@ -53,7 +54,10 @@
             self.reactor,
             self.clock,
             random.Random(5),
-            platform.load_settings(documents.SETTINGS.encode()).unwrap(),
+            attrs.evolve(
+                platform.load_settings(documents.SETTINGS.encode()).unwrap(),
+                features=features,
+            ),
             platform.HEADERS,
             platform.PlatformDecoder(),
             lambda state: self.source,
