--- a/src/jujubetiller/admission/_load_reports.py
+++ b/src/jujubetiller/admission/_load_reports.py
@@ -13,7 +13,8 @@
 """Reports that come less often than this weigh more: older ones describe another
 load."""
 
-MAX_SERVICES = 64
+MAX_SERVICES = 48
+"""Frames carry at most 64 services."""
 
 
 class LoadReports:
@@ -26,12 +27,14 @@
         self.max_age_ms = max_age_ms
         self.factors: dict[str, float] = {}
         self.reported_at_ms: dict[str, float] = {}
+        self.evicted = 0
 
     def record(self, service: str, factor: float) -> None:
         """Record a report about one instance of ``service``."""
         known = self.find(service)
         if known is None:
             if len(self.factors) >= MAX_SERVICES and service not in self.factors:
+                self.evicted += 1
                 self.remove(next(iter(self.factors)))
             self.factors[service] = factor
         else:
--- a/src/jujubetiller/admission/_node_admission.py
+++ b/src/jujubetiller/admission/_node_admission.py
@@ -195,6 +195,7 @@
             "offers_over_bound": self.entry.over_bound,
             "kinds_over_bound": self.estimator.over_bound,
             "costs_evicted": self.costs.evicted,
+            "loads_evicted": self.reports.evicted,
         }
 
     def read_gauges(self) -> dict[str, float]:
