Give requests of rare teams the share of their class

Rates below 0.02 a second are forgotten, so each request of a rare team counted as the first of its route and team and was admitted, even of a class that was refused.

--- a/src/jujubetiller/admission/_entry_admission.py
+++ b/src/jujubetiller/admission/_entry_admission.py
@@ -58,6 +58,11 @@
 _OTHER_TEAMS = "\n"
 """Stands for the teams over the bound; no team has this name."""
 
+_RARE_TEAM = "\r"
+"""Stands for a team with hardly any requests; no team has this name."""
+
+_RARE_PER_S = 1e-6
+
 
 class Decision(enum.Enum):
     """Whether a request is admitted."""
@@ -107,6 +112,10 @@
         """The fractions that the reports are about."""
 
         self.offered: dict[tuple[str, str], _Offered] = {}
+        self.rare_shares: dict[str, float] = {}
+        """Shares of requests of rare teams, by route. Their own rates are forgotten
+        between two requests, and there may be many of them."""
+
         self.advanced_at_ms = time_source.now_ms()
         self.logged_at_ms = -math.inf
         self.refused = 0
@@ -155,7 +164,12 @@
                 self.offered.pop(next(iter(self.offered)))
         # Random, so that the first requests of many rare routes are not all refused.
         return self.offered.setdefault(
-            (route, team), _Offered(priority_class, credit=self.random.random())
+            (route, team),
+            _Offered(
+                priority_class,
+                share=self.rare_shares.get(route, 1.0),
+                credit=self.random.random(),
+            ),
         )
 
     def _measure(self, elapsed_ms: float) -> None:
@@ -195,8 +209,18 @@
         floor = FLOOR_PART * (admitted / total if total else 1.0)
         for found in self.offered.values():
             found.share = 1.0
+        self.rare_shares = {}
+        classes = {key[0]: one.priority_class for key, one in self.offered.items()}
         for service, fraction in self.fractions.items():
             offers = []
+            for route, priority_class in classes.items():
+                cost_ms = (self.costs.find(route) or {}).get(service, 0.0)
+                if cost_ms > 0.0:
+                    offers.append(
+                        _allocate.Offer(
+                            route, _RARE_TEAM, priority_class, _RARE_PER_S, cost_ms
+                        )
+                    )
             for (route, team), found in self.offered.items():
                 cost_ms = (self.costs.find(route) or {}).get(service, 0.0)
                 if cost_ms > 0.0:
@@ -207,7 +231,12 @@
                     )
             offers = _allocate.drop_negligible(offers)
             for key, share in _allocate.allocate(offers, fraction, floor).items():
-                self.offered[key].share = min(self.offered[key].share, share)
+                route, team = key
+                if team == _RARE_TEAM:
+                    known = self.rare_shares.get(route, 1.0)
+                    self.rare_shares[route] = min(known, share)
+                else:
+                    self.offered[key].share = min(self.offered[key].share, share)
 
     def _log_if_due(self) -> None:
         now_ms = self.clock.now_ms()
--- a/tests/admission/test_node_admission.py
+++ b/tests/admission/test_node_admission.py
@@ -161,6 +161,23 @@
     assert node.entry.share_of("page", "") == 1.0
 
 
+def test_many_rare_teams_of_the_last_class_are_not_all_admitted() -> None:
+    """Guards against teams that are admitted because their rate was forgotten."""
+    node = make_node()
+    refused = {"page": 0, "note": 0}
+    for number in range(2_000):
+        for route, priority_class in (("page", 1), ("note", 2)):
+            answer = make_answer(costs=(("ledger", 80.0),), loads=(("ledger", 1.0),))
+            node.record_answer(route, answer, False)
+            node.entry.fractions["ledger"] = node.entry.lagged["ledger"] = 0.6
+            team = f"team-{number}"
+            decision = node.entry.decide(route, priority_class, team)
+            refused[route] += decision is admission.Decision.REFUSE
+        advance(node, 50.0)
+    assert refused["page"] < 100
+    assert refused["note"] > 1_000
+
+
 def test_offers_beyond_the_bound_are_counted(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("jujubetiller.admission._entry_admission.MAX_KEYS", 3)
     node = make_node()
