--- /dev/null
+++ b/src/jujubetiller/admission/_cost_estimator.py
@@ -0,0 +1,287 @@
+"""Estimates how many nested calls the requests at one target make."""
+
+import collections
+import math
+import random
+
+import attrs
+
+from jujubetiller import clock
+from jujubetiller.admission import _cost_table, _rate_fit
+
+TIME_CONSTANT_MS = 15_000.0
+"""Time constant with which observations lose weight."""
+
+MAX_EVENTS = 640
+"""Calls of one kind that are kept with the kinds that ran when they left."""
+
+KEPT_EVENTS_PER_S = 25.0
+"""Calls beyond this rate are sampled at random, so that the kept ones span more than
+two time constants."""
+
+MAX_KINDS = 64
+"""Kinds of requests, and kinds of nested calls; others are not estimated."""
+
+UPDATE_INTERVAL_MS = 1_000.0
+"""Interval in which the rates of each kind of calls are fitted, one kind at a time."""
+
+MIN_EXPOSURE_MS = 1e-3
+
+MIN_ENDS = 12.0
+"""Below this decayed number of ended requests, a kind's costs count as unknown."""
+
+MAX_RELATIVE_ERROR = 0.35
+"""A kind counts as not distinguished from others if the standard error of its cost,
+relative to its cost or to the mean cost of requests at the target, is larger."""
+
+MIN_ERRORS = 2.0
+"""Calls per request that are fewer than this many standard errors count as none:
+otherwise kinds without calls are refused for those of kinds that run beside them."""
+
+NEGLIGIBLE_CALLS = 0.25
+"""Calls per request up to which their costs need not be known."""
+
+RUN_WEIGHT = 0.1
+
+FAILURE_WEIGHT = 0.02
+
+MAX_FAILURE_SHARE = 0.15
+"""While more requests fail, nothing is learned: requests that fail at their first call
+seem to be cheap, and more of them would be admitted."""
+
+MAX_PAUSE_MS = 30_000.0
+"""Learning pauses for this long at most, as some kinds fail for other reasons."""
+
+
+@attrs.define
+class _Kind:
+    """What is known of the requests of one kind at the target."""
+
+    running: int = 0
+    mean_run_ms: float = 0.0
+    """Moving average of the run time, which follows changes within some requests."""
+
+    exposure_ms: float = 0.0
+    """Decayed sum of running time."""
+
+    ends: float = 0.0
+    """Decayed number of ended requests."""
+
+    @property
+    def slot_ms(self) -> float:
+        """Return the mean time in which a request ran, 0 if it is unknown."""
+        return self.exposure_ms / self.ends if self.ends > 0.0 else 0.0
+
+
+@attrs.define
+class _Event:
+    """A nested call that left, with the numbers of requests that ran by kind."""
+
+    at_ms: float
+    running: dict[str, int]
+
+
+@attrs.define
+class _Calls:
+    """The nested calls of one kind."""
+
+    count: float = 0.0
+    """Decayed number of calls."""
+
+    events: collections.deque[_Event] = attrs.Factory(
+        lambda: collections.deque(maxlen=MAX_EVENTS)
+    )
+    per_ms: dict[str, float] = attrs.Factory(dict)
+    """Estimated calls per running millisecond, by kind of the request."""
+
+    errors: dict[str, float] = attrs.Factory(dict)
+    """Standard errors of ``per_ms``; infinite for kinds that cannot be
+    distinguished. Kinds that were not fitted yet are missing."""
+
+
+class CostEstimator:
+    """Attributes nested calls to the kinds of requests that run at the target.
+
+    A call is taken to come from each running kind in proportion to the number of its
+    running requests times its estimated rate of such calls. The rates are fitted by
+    maximum likelihood over the recent calls. Calls that the target repeats are
+    counted, because they load the services below; attempts that nodes repeat are not.
+    """
+
+    def __init__(self, time_source: clock.Clock, random_source: random.Random) -> None:
+        self.clock = time_source
+        self.random = random_source
+        self.kinds: dict[str, _Kind] = {}
+        self.calls: dict[str, _Calls] = {}
+        self.advanced_at_ms = time_source.now_ms()
+        self.updated_at_ms = self.advanced_at_ms
+        self.over_bound = 0
+        self.failure_share = 0.0
+        self.healthy_at_ms = self.advanced_at_ms
+
+    def record_start(self, kind: str) -> None:
+        """Count a request that starts at the target."""
+        self.advance()
+        found = self.kinds.get(kind)
+        if found is None:
+            if len(self.kinds) >= MAX_KINDS:
+                self.over_bound += 1
+                return
+            found = self.kinds[kind] = _Kind()
+        found.running += 1
+
+    def record_end(self, kind: str, run_ms: float, succeeded: bool) -> None:
+        """Count the end of a request that started before.
+
+        ``succeeded`` is False if it was cancelled or failed.
+        """
+        self.advance()
+        found = self.kinds.get(kind)
+        if found is None or not found.running:
+            return
+        found.running -= 1
+        self.failure_share += FAILURE_WEIGHT * ((not succeeded) - self.failure_share)
+        if self.failure_share <= MAX_FAILURE_SHARE:
+            self.healthy_at_ms = self.advanced_at_ms
+        if succeeded:
+            weight = RUN_WEIGHT if found.mean_run_ms else 1.0
+            found.mean_run_ms += weight * (run_ms - found.mean_run_ms)
+        if not self.is_paused():
+            found.ends += 1.0
+
+    def is_paused(self) -> bool:
+        """Return whether nothing is learned at present."""
+        if self.failure_share <= MAX_FAILURE_SHARE:
+            return False
+        return self.advanced_at_ms - self.healthy_at_ms <= MAX_PAUSE_MS
+
+    def record_call(self, kind: str) -> None:
+        """Count a call that the target sends."""
+        self.advance()
+        if self.is_paused():
+            return
+        found = self.calls.get(kind)
+        if found is None:
+            if len(self.calls) >= MAX_KINDS:
+                self.over_bound += 1
+                return
+            found = self.calls[kind] = _Calls()
+        found.count += 1.0
+        rate_per_s = found.count * 1_000.0 / TIME_CONSTANT_MS
+        if self.random.random() * rate_per_s < KEPT_EVENTS_PER_S:
+            running = {name: one.running for name, one in self.kinds.items()}
+            running = {name: number for name, number in running.items() if number}
+            if running:
+                found.events.append(_Event(self.advanced_at_ms, running))
+
+    def mean_run_ms(self, kind: str) -> float:
+        """Return the recent mean run time of a kind, 0 if it is unknown."""
+        found = self.kinds.get(kind)
+        return found.mean_run_ms if found is not None else 0.0
+
+    def calls_per_request(self, kind: str) -> dict[str, float]:
+        """Return the estimated nested calls of one request, by their kind."""
+        self.update_if_due()
+        one = self.kinds.get(kind)
+        slot_ms = one.slot_ms if one is not None else 0.0
+        return {
+            call: found.per_ms.get(kind, 0.0) * slot_ms
+            for call, found in self.calls.items()
+        }
+
+    def estimate(
+        self, service: str, kind: str, below: _cost_table.CostTable
+    ) -> dict[str, float] | None:
+        """Return the slot-milliseconds that one request takes, by service.
+
+        ``service`` is the target's own one, ``below`` the costs of the nested calls.
+        None if the estimate is not reliable, or the costs of its calls are unknown.
+        """
+        found = self.kinds.get(kind)
+        if found is None or found.ends < MIN_ENDS:
+            return None
+        costs = {service: found.slot_ms}
+        error_ms = 0.0
+        for call, number in self.calls_per_request(kind).items():
+            error = self.calls[call].errors.get(kind, math.inf) * found.slot_ms
+            reported = below.find(call)
+            if reported is None:
+                if max(number, error) > NEGLIGIBLE_CALLS:
+                    return None
+                continue
+            error_ms += error * sum(reported.values())
+            if number <= MIN_ERRORS * error:
+                continue
+            for name, cost_ms in reported.items():
+                costs[name] = costs.get(name, 0.0) + number * cost_ms
+        usual_ms = max(sum(costs.values()), self._mean_cost_ms(below))
+        if not error_ms <= MAX_RELATIVE_ERROR * usual_ms:
+            return None
+        largest = sorted(costs, key=lambda name: -costs[name])
+        return {name: costs[name] for name in largest[: _cost_table.MAX_SERVICES]}
+
+    def _mean_cost_ms(self, below: _cost_table.CostTable) -> float:
+        """Return the mean slot time, at all services, of a request at the target."""
+        ends = sum(kind.ends for kind in self.kinds.values())
+        cost_ms = sum(kind.exposure_ms for kind in self.kinds.values())
+        for call, found in self.calls.items():
+            cost_ms += found.count * sum((below.find(call) or {}).values())
+        return cost_ms / ends if ends else 0.0
+
+    def advance(self) -> None:
+        """Add the running time since the last event, and let the sums decay."""
+        now_ms = self.clock.now_ms()
+        elapsed_ms = now_ms - self.advanced_at_ms
+        if elapsed_ms <= 0.0:
+            return
+        self.advanced_at_ms = now_ms
+        if self.is_paused():
+            return
+        decay = math.exp(-elapsed_ms / TIME_CONSTANT_MS)
+        for kind in self.kinds.values():
+            kind.exposure_ms = kind.exposure_ms * decay + kind.running * elapsed_ms
+            kind.ends *= decay
+        for found in self.calls.values():
+            found.count *= decay
+
+    def update_if_due(self) -> None:
+        """Fit the rates of one kind of calls again, if the last time is long ago."""
+        self.advance()
+        interval_ms = UPDATE_INTERVAL_MS / max(len(self.calls), 1)
+        if self.advanced_at_ms - self.updated_at_ms < interval_ms:
+            return
+        self.updated_at_ms = self.advanced_at_ms
+        self._forget_unused()
+        if not self.calls:
+            return
+        kind = next(iter(self.calls))
+        # The others follow in turn.
+        found = self.calls[kind] = self.calls.pop(kind)
+        self._fit(found)
+
+    def _forget_unused(self) -> None:
+        for name in [n for n, kind in self.kinds.items() if not kind.running]:
+            if self.kinds[name].exposure_ms < MIN_EXPOSURE_MS:
+                del self.kinds[name]
+        for name in [n for n, found in self.calls.items() if found.count < 1e-3]:
+            del self.calls[name]
+
+    def _fit(self, found: _Calls) -> None:
+        exposures = {
+            name: kind.exposure_ms
+            for name, kind in self.kinds.items()
+            if kind.exposure_ms > MIN_EXPOSURE_MS
+        }
+        events = [
+            (math.exp((event.at_ms - self.advanced_at_ms) / TIME_CONSTANT_MS), event)
+            for event in found.events
+        ]
+        if not exposures or not events:
+            return
+        start = found.count / sum(exposures.values())
+        found.per_ms, found.errors = _rate_fit.improve(
+            {name: found.per_ms.get(name, start) for name in exposures},
+            exposures,
+            [(weight, event.running) for weight, event in events],
+            found.count,
+        )
--- a/src/jujubetiller/limits/__init__.py
+++ b/src/jujubetiller/limits/__init__.py
@@ -8,9 +8,11 @@
 from jujubetiller.limits._build_guard import build_guard
 from jujubetiller.limits._build_policy import build_order, build_policy
 from jujubetiller.limits._class_queue_order import ClassQueueOrder
+from jujubetiller.limits._fair_admission_queue import FairAdmissionQueue
 from jujubetiller.limits._fixed_limit_policy import FixedLimitPolicy
 from jujubetiller.limits._gradient_limit_policy import GradientLimitPolicy
 from jujubetiller.limits._guard_entry import EntryState, GuardEntry
+from jujubetiller.limits._guard_observer import GuardObserver
 from jujubetiller.limits._guard_timer import GuardTimer
 from jujubetiller.limits._latency_sample import LatencySample
 from jujubetiller.limits._learned_limit_policy import LearnedLimitPolicy
@@ -34,9 +36,11 @@
     "ArrivalQueueOrder",
     "ClassQueueOrder",
     "EntryState",
+    "FairAdmissionQueue",
     "FixedLimitPolicy",
     "GradientLimitPolicy",
     "GuardEntry",
+    "GuardObserver",
     "GuardTimer",
     "LatencySample",
     "LearnedLimitPolicy",
--- a/src/jujubetiller/mesh/_build_parts.py
+++ b/src/jujubetiller/mesh/_build_parts.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from jujubetiller import (
+    admission,
     clock,
     congestion,
     crashes,
@@ -111,4 +112,7 @@
         account=memory.MemoryAccount(
             time_source, memory.find_limit_bytes(node_settings.memory.limit_mb)
         ),
+        admission=admission.build_node_admission(
+            node_settings, time_source, random_source, guard
+        ),
     )
--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -10,6 +10,7 @@
 from jujubetiller.mesh import (
     _attempt_policy,
     _call_reports,
+    _entry_decision,
     _ingress_call,
     _key_check,
     _mesh_parts,
@@ -17,6 +18,7 @@
     _replies,
     _request,
     _request_end,
+    _retry_pause,
 )
 
 _Code = codes.ResultCode
@@ -99,8 +101,13 @@
         if not self.parts.can_finish_request(self.service, self.route, self.deadline):
             self.finish(calls.make_refusal(_Code.DRAINING))
             return
-        if not self.throttle.admits():
-            self.parts.throttles.refused += 1
+        if not _entry_decision.admits(
+            self.parts,
+            self.throttle,
+            self.route.name,
+            self.request.priority_class,
+            self.request.team,
+        ):
             self.finish(calls.make_refusal(_Code.OVERLOADED_DOWNSTREAM))
             return
         drop = self.parts.quota.acquire(
@@ -215,6 +222,7 @@
         )
         self.parts.delays.record(answer.queue_delay_ms)
         self.queue_delay_ms = max(self.queue_delay_ms, answer.queue_delay_ms)
+        _entry_decision.record_answer(self.parts, self.throttle, self.request, answer)
         if answer.code is _Code.ANSWERED:
             self.throttle.exempt = answer.is_nested
             self.failed_answer = answer
@@ -243,8 +251,14 @@
             answer = self.failed_answer
         if answer.outcome is codes.Outcome.NOT_RUN and self.quota_token is not None:
             self.parts.quota.give_back(self.quota_token)
+        pause = _retry_pause.RetryPause(
+            self.retry_after_ms,
+            _entry_decision.refused_share(self.parts, self.request, answer),
+        )
         edge_reply = _replies.render_answer(
-            answer, self.parts.random, self.retry_after_ms
+            answer,
+            self.parts.random,
+            pause,
         )
         _request_end.report_end(
             self.parts, self.throttle, self.summarize(), answer, edge_reply.status
@@ -262,6 +276,9 @@
             took_ms=self.parts.clock.now_ms() - self.started_at_ms,
             left_ms=self.deadline.left_ms(self.parts.clock),
             queue_delay_ms=self.queue_delay_ms,
+            admitted_share=_entry_decision.admitted_share(
+                self.parts, self.throttle, self.route.name, self.request.team
+            ),
         )
 
     def cancel(self) -> None:
--- a/src/jujubetiller/mesh/_ingress_call.py
+++ b/src/jujubetiller/mesh/_ingress_call.py
@@ -62,6 +62,8 @@
             start=self.start,
             refuse=self.refuse,
             kind=request.kind,
+            team=request.team,
+            is_nested=parts.admission is not None and self.is_nested(),
         )
 
     def begin(self) -> None:
@@ -143,6 +145,8 @@
         """Free the guard's slot and answer with the target's response."""
         code = self.classify(response)
         self.record_notices(code, response)
+        self.entry.was_shed = code is _Code.TARGET_SHED
+        self.entry.has_failed = response.status >= calls.LOWEST_FAILURE_STATUS
         self.parts.guard.finished(self.entry, code is _Code.ANSWERED)
         if code is _Code.TARGET_CLOSED_EARLY:
             self.report_lost()
@@ -233,6 +237,8 @@
             answer.is_nested = self.is_nested()
             if self.parts.settings.features.placing == "room":
                 answer.room, answer.wait_ms = limits.read_room(self.parts.guard)
+            if self.parts.admission is not None:
+                self.parts.admission.add_to_answer(self.request.kind, answer)
             self.parts.notices.add_to_answer(self.request.expected_instance, answer)
             reply(answer)
 
--- a/src/jujubetiller/mesh/_mesh_counters.py
+++ b/src/jujubetiller/mesh/_mesh_counters.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 
 from jujubetiller import (
+    admission,
     crashes,
     limits,
     metrics,
@@ -99,6 +100,7 @@
             policy.read_values,
             is_counter=False,
         )
+    yield from admission.make_groups(parts.admission)
     yield from notices.make_groups(parts.guard, parts.notices)
     yield from crashes.make_groups(parts.containment, parts.watch)
     yield metrics.CounterGroup(
--- a/src/jujubetiller/mesh/_mesh_parts.py
+++ b/src/jujubetiller/mesh/_mesh_parts.py
@@ -6,6 +6,7 @@
 import attrs
 
 from jujubetiller import (
+    admission,
     calls,
     clock,
     congestion,
@@ -69,6 +70,9 @@
     state_age: published.StateAge
     keys: _key_check.KeyCheck
     account: memory.MemoryAccount
+    admission: admission.NodeAdmission | None
+    """None unless the settings ask for admission by cost."""
+
     pool: streams.StreamPool = attrs.field(init=False)
     prober: "_peer_prober.PeerProber" = attrs.field(init=False)
     quota: "_quota_exchange.QuotaExchange" = attrs.field(init=False)
--- a/src/jujubetiller/mesh/_replies.py
+++ b/src/jujubetiller/mesh/_replies.py
@@ -3,15 +3,10 @@
 import random
 
 from jujubetiller import calls, codes, edge
+from jujubetiller.mesh import _retry_pause
 
 _NOT_RUN = codes.Outcome.NOT_RUN
 
-MIN_RETRY_AFTER_MS = 300.0
-"""The shortest ``Retry-After`` time that a refused client is given."""
-
-RETRY_AFTER_SPREAD_MS = 700.0
-"""Retries of clients that were refused together are spread over this time."""
-
 RATE_LIMITED_PAUSE_FACTOR = 2.0
 """A rate limit lasts longer than a full queue, so clients are told to wait longer."""
 
@@ -26,25 +21,25 @@
 def render_answer(
     answer: calls.CallAnswer,
     random_source: random.Random,
-    retry_after_ms: float | None = None,
+    pause: _retry_pause.RetryPause = _retry_pause.DEFAULT,
 ) -> edge.EdgeReply:
     """Return the reply to a client for ``answer``; see ``render_refusal``."""
     if answer.outcome is codes.Outcome.ANSWERED:
         return edge.EdgeReply(answer.status, list(answer.headers), answer.body)
-    return render_refusal(answer.code, "", random_source, retry_after_ms)
+    return render_refusal(answer.code, "", random_source, pause)
 
 
 def render_refusal(
     code: codes.ResultCode,
     detail: str,
     random_source: random.Random,
-    retry_after_ms: float | None = None,
+    pause: _retry_pause.RetryPause = _retry_pause.DEFAULT,
 ) -> edge.EdgeReply:
     """Return the node's own reply to a request that has no response of a target.
 
     Every refusal of a request that did not run and may be sent again has the same
     status, with a ``Retry-After`` header. A refusal for a quota keeps its own status;
-    its client is told to wait ``retry_after_ms``, and a random time more.
+    its client is told when tokens are expected.
     """
     entry = codes.describe(code)
     status = entry.http_status
@@ -54,8 +49,7 @@
     if code is codes.ResultCode.UNKNOWN_API_KEY:
         headers.append(("WWW-Authenticate", "Bearer"))
     if status in _RETRY_STATUSES and entry.outcome is _NOT_RUN:
-        pause_ms = max(MIN_RETRY_AFTER_MS, retry_after_ms or 0.0)
-        pause_ms += RETRY_AFTER_SPREAD_MS * random_source.random()
+        pause_ms = pause.draw_ms(random_source)
         if code is codes.ResultCode.RATE_LIMITED:
             pause_ms *= RATE_LIMITED_PAUSE_FACTOR
         if code is codes.ResultCode.REQUEST_CRASHES_TARGETS:
