Choose admission, placing and limits of targets by an environment variable

Cause: the platform writes the settings file and knows none of these features, so that no deployment could switch them on. Change: JUJUBETILLER_FEATURES holds a JSON object with the fields of FeatureSettings; a wrong one is reported with its number, and the node does not start. It also holds after the settings file is reloaded.

--- a/src/jujubetiller/command/_mesh.py
+++ b/src/jujubetiller/command/_mesh.py
@@ -1,14 +1,16 @@
 """The ``mesh`` command."""
 
+import functools
 import gc
 import importlib
 import os
 import pathlib
 
+import attrs
 import result
 
 from jujubetiller import codes
-from jujubetiller.command import _output, _settings_file
+from jujubetiller.command import _features, _output, _settings_file
 
 
 def mesh(*, settings: str = "") -> int:
@@ -27,6 +29,9 @@
         return _output.report(
             codes.Problem(codes.ResultCode.BAD_COMMAND, "settings", message)
         )
+    features = _features.read_features(os.environ)
+    if isinstance(features, result.Err):
+        return _output.report(features.err_value)
     loaded = _settings_file.load_changing_platform_settings_file(name)
     if isinstance(loaded, result.Err):
         return _output.report(loaded.err_value)
@@ -34,8 +39,8 @@
     return int(
         module.run(
             pathlib.Path(name),
-            platform.load_settings,
-            loaded.ok_value,
+            functools.partial(platform.load_settings, features=features.ok_value),
+            attrs.evolve(loaded.ok_value, features=features.ok_value),
             platform.HEADERS,
             platform.PlatformDecoder(),
             platform.StoreReader,
--- a/src/jujubetiller/platform/_settings.py
+++ b/src/jujubetiller/platform/_settings.py
@@ -50,11 +50,17 @@
 
 
 def load_settings(
-    text: bytes,
+    text: bytes, features: settings.FeatureSettings | None = None
 ) -> result.Result[settings.MeshSettings, codes.Problem]:
-    """Return the settings in the TOML document ``text``; unknown fields are ignored."""
+    """Return the settings in the TOML document ``text``; unknown fields are ignored.
+
+    ``features`` is not part of the document.
+    """
     try:
-        return result.Ok(_translate(tomllib.loads(text.decode())))
+        translated = _translate(tomllib.loads(text.decode()))
+        if features is not None:
+            translated = attrs.evolve(translated, features=features)
+        return result.Ok(translated)
     except schema.FieldError as error:
         return result.Err(
             codes.Problem(codes.ResultCode.BAD_SETTINGS, error.field, str(error))
