Refuse overload at the entry before a call is built

Cause: a request that the throttle or admission by cost refuses was made into a call with its headers, rank, retry state and timer first, and each built a log record, also when the limit of repeated lines suppressed it. Change: admission is a check in the table of the entry; its log line (request refused) is built only if it is written. Known keys are accepted without strict revocation although the age of what is known is not known yet; before, they were refused until the first proof.

--- a/src/jujubetiller/mesh/_build_parts.py
+++ b/src/jujubetiller/mesh/_build_parts.py
@@ -10,6 +10,7 @@
     congestion,
     crashes,
     limits,
+    logs,
     memory,
     metrics,
     notices,
@@ -28,6 +29,9 @@
     _retry_budget,
 )
 
+REFUSAL_KINDS = 8
+"""Kinds of log lines about refusals that are limited one by one."""
+
 HOST = "host"
 """The header that names the host to which a request is addressed."""
 
@@ -107,6 +111,9 @@
         delays=congestion.PeakDelay(time_source),
         callers=congestion.CallerShares(),
         throttles=congestion.Throttles(time_source, random_source),
+        refusal_log=logs.MessageRateLimiter(
+            time_source, node_settings.logs.repeats_per_second, REFUSAL_KINDS
+        ),
         state_age=state_age,
         keys=_key_check.KeyCheck(state_age, node_settings.teams, headers.authorization),
         account=memory.MemoryAccount(
--- a/src/jujubetiller/mesh/_egress_call.py
+++ b/src/jujubetiller/mesh/_egress_call.py
@@ -6,7 +6,16 @@
 import attrs
 import result
 
-from jujubetiller import calls, codes, edge, quotas, retries, routes, routing
+from jujubetiller import (
+    calls,
+    codes,
+    congestion,
+    edge,
+    quotas,
+    retries,
+    routes,
+    routing,
+)
 from jujubetiller.mesh import (
     _attempt_policy,
     _call_reports,
@@ -60,6 +69,7 @@
         route: routes.Route,
         deadline: calls.Deadline,
         reply: Callable[[edge.EdgeReply], None],
+        throttle: congestion.RouteThrottle,
         holder: _key_check.KeyHolder | None = None,
     ) -> None:
         self.parts = parts
@@ -78,9 +88,7 @@
         """The latest failure that an instance answered; its request has run."""
 
         self.instance: routing.RoutableInstance | None = None
-        self.throttle = parts.throttles.find(
-            *_request.name_throttle(route, self.request, team)
-        )
+        self.throttle = throttle
         self.queue_delay_ms = 0.0
         """The longest queueing delay that answers to this request reported."""
 
@@ -96,20 +104,11 @@
         self.overdue_timer = _overdue_timer.OverdueTimer(parts)
 
     def start(self) -> None:
-        """Make the first attempt, unless the throttle or the quota refuses it."""
+        """Make the first attempt, unless the node stops or the quota refuses it."""
         self.parts.state.requests_under_way += 1
         if not self.parts.can_finish_request(self.service, self.route, self.deadline):
             self.finish(calls.make_refusal(_Code.DRAINING))
             return
-        if not _entry_decision.admits(
-            self.parts,
-            self.throttle,
-            self.route.name,
-            self.request.priority_class,
-            self.request.team,
-        ):
-            self.finish(calls.make_refusal(_Code.OVERLOADED_DOWNSTREAM))
-            return
         drop = self.parts.quota.acquire(
             self.request.team, self.request_id, self.admitted, self.refused
         )
@@ -251,14 +250,8 @@
             answer = self.failed_answer
         if answer.outcome is codes.Outcome.NOT_RUN and self.quota_token is not None:
             self.parts.quota.give_back(self.quota_token)
-        pause = _retry_pause.RetryPause(
-            self.retry_after_ms,
-            _entry_decision.refused_share(self.parts, self.request, answer),
-        )
         edge_reply = _replies.render_answer(
-            answer,
-            self.parts.random,
-            pause,
+            answer, self.parts.random, _retry_pause.RetryPause(self.retry_after_ms)
         )
         _request_end.report_end(
             self.parts, self.throttle, self.summarize(), answer, edge_reply.status
--- a/src/jujubetiller/mesh/_egress_site.py
+++ b/src/jujubetiller/mesh/_egress_site.py
@@ -20,9 +20,15 @@
         return self.parts.state.draining
 
     def refuse(self, code: codes.ResultCode, detail: str) -> edge.EdgeReply:
-        """Return the answer to a request that starts no call."""
+        """Return the answer to a request that the listener refuses."""
         return _replies.render_refusal(code, detail, self.parts.random)
 
+    def refuse_entry(self, refusal: _entry_checks.EntryRefusal) -> edge.EdgeReply:
+        """Return the answer to a request that a check refuses."""
+        return _replies.render_refusal(
+            refusal.code, refusal.detail, self.parts.random, refusal.pause
+        )
+
     def handle(
         self,
         message: edge.EdgeMessage,
@@ -33,7 +39,7 @@
             self.parts,
             _entry_checks.EntryRequest(message),
             functools.partial(self.admit, reply),
-            lambda refusal: reply(self.refuse(refusal.code, refusal.detail)),
+            lambda refusal: reply(self.refuse_entry(refusal)),
         )
         run.advance()
         return run.cancel
@@ -44,11 +50,12 @@
         entry: _entry_checks.EntryRequest,
     ) -> Callable[[], None]:
         """Start the call of a request that passed the checks."""
-        message, route = entry.message, entry.route
+        message, route, throttle = entry.message, entry.route, entry.throttle
         assert route is not None
+        assert throttle is not None
         deadline = self.find_deadline(message, route)
         call = _egress_call.EgressCall(
-            self.parts, message, route, deadline, reply, entry.holder
+            self.parts, message, route, deadline, reply, throttle, entry.holder
         )
         call.start()
         return call.cancel
--- a/src/jujubetiller/mesh/_entry_checks.py
+++ b/src/jujubetiller/mesh/_entry_checks.py
@@ -5,8 +5,16 @@
 import attrs
 import result
 
-from jujubetiller import codes, edge, routes
-from jujubetiller.mesh import _ingress_call, _key_check, _mesh_parts
+from jujubetiller import codes, congestion, edge, routes, teams
+from jujubetiller.mesh import (
+    _entry_decision,
+    _entry_refusal,
+    _ingress_call,
+    _key_check,
+    _mesh_parts,
+    _request,
+    _retry_pause,
+)
 
 _Code = codes.ResultCode
 
@@ -18,6 +26,12 @@
     message: edge.EdgeMessage
     route: routes.Route | None = None
     holder: _key_check.KeyHolder | None = None
+    throttle: congestion.RouteThrottle | None = None
+
+    @property
+    def team(self) -> teams.Team | None:
+        """The team that sent the request, if its key names one."""
+        return None if self.holder is None else self.holder.team
 
 
 @attrs.frozen
@@ -26,6 +40,7 @@
 
     code: codes.ResultCode
     detail: str = ""
+    pause: _retry_pause.RetryPause = _retry_pause.DEFAULT
 
 
 class LaterVerdict:
@@ -101,7 +116,26 @@
     return EntryRefusal(code)
 
 
-CHECKS: tuple[Check, ...] = (check_ready, check_route, check_key)
+def check_admission(parts: _mesh_parts.MeshParts, entry: EntryRequest) -> Verdict:
+    """Refuse a request if a service that it needs lacks room for it."""
+    route, team = entry.route, entry.team
+    if route is None:
+        return EntryRefusal(_Code.NO_ROUTE)
+    priority_class = _request.find_priority_class(parts, route, team)
+    team_name = "" if team is None else team.name
+    throttle = parts.throttles.find(_request.name_throttle(route, team), priority_class)
+    entry.throttle = throttle
+    if _entry_decision.admits(parts, throttle, route.name, priority_class, team_name):
+        return None
+    _entry_refusal.report_overload(parts, route, throttle, entry.message, team_name)
+    refused_share = _entry_decision.refused_share(parts, route.name, team_name)
+    return EntryRefusal(
+        _Code.OVERLOADED_DOWNSTREAM,
+        pause=_retry_pause.RetryPause(refused_share=refused_share),
+    )
+
+
+CHECKS: tuple[Check, ...] = (check_ready, check_route, check_key, check_admission)
 """The checks in their order, cheapest and most certain first."""
 
 
--- a/src/jujubetiller/mesh/_entry_decision.py
+++ b/src/jujubetiller/mesh/_entry_decision.py
@@ -1,6 +1,6 @@
 """The decision whether a request is sent, by cost or by queueing delay."""
 
-from jujubetiller import admission, calls, codes, congestion
+from jujubetiller import admission, calls, congestion
 from jujubetiller.mesh import _mesh_parts
 
 
@@ -54,14 +54,8 @@
     return min(throttle.share, parts.admission.entry.share_of(kind, team))
 
 
-def refused_share(
-    parts: _mesh_parts.MeshParts,
-    request: calls.CallRequest,
-    answer: calls.CallAnswer,
-) -> float:
-    """Return the share of such requests that is refused, if the answer refuses one."""
+def refused_share(parts: _mesh_parts.MeshParts, kind: str, team: str) -> float:
+    """Return the share of requests of a kind that admission by cost refuses."""
     if parts.admission is None:
         return 0.0
-    if answer.code is not codes.ResultCode.OVERLOADED_DOWNSTREAM:
-        return 0.0
-    return 1.0 - parts.admission.entry.share_of(request.kind, request.team)
+    return 1.0 - parts.admission.entry.share_of(kind, team)
--- a/src/jujubetiller/mesh/_key_check.py
+++ b/src/jujubetiller/mesh/_key_check.py
@@ -122,7 +122,7 @@
         if configuration is None or not configuration.team_table:
             return
         age_ms = self.state_age.age_ms()
-        are_current = age_ms < self._longest_age_ms()
+        are_current = not self._is_too_old(age_ms)
         if are_current == self.are_current:
             return
         self.are_current = are_current
@@ -141,7 +141,7 @@
         team = configuration.team_table.find_digest(digest)
         if team is None:
             return result.Err(self._refuse_unknown("unknown_key"))
-        if self.state_age.age_ms() >= self._longest_age_ms():
+        if self._is_too_old(self.state_age.age_ms()):
             self.refused["keys_not_current"] += 1
             self.note_age(configuration)
             return result.Err(_Code.KEYS_NOT_CURRENT)
@@ -154,6 +154,14 @@
         self.refused[f"{reason}_not_current"] += 1
         return _Code.KEYS_NOT_CURRENT
 
+    def _is_too_old(self, age_ms: float) -> bool:
+        """Return whether known keys are to be refused at that age.
+
+        Without strict revocation they are accepted although nothing is known of it.
+        """
+        is_strict = self.settings.has_strict_revocation
+        return is_strict and age_ms >= self._longest_age_ms()
+
     def _longest_age_ms(self) -> float:
         if not self.settings.has_strict_revocation:
             return math.inf
--- a/src/jujubetiller/mesh/_mesh_parts.py
+++ b/src/jujubetiller/mesh/_mesh_parts.py
@@ -12,6 +12,7 @@
     congestion,
     crashes,
     limits,
+    logs,
     memory,
     metrics,
     notices,
@@ -67,6 +68,9 @@
     delays: congestion.PeakDelay
     callers: congestion.CallerShares
     throttles: congestion.Throttles
+    refusal_log: logs.MessageRateLimiter
+    """Limits the log lines of requests that are refused where they enter."""
+
     state_age: published.StateAge
     keys: _key_check.KeyCheck
     account: memory.MemoryAccount
--- a/src/jujubetiller/mesh/_request.py
+++ b/src/jujubetiller/mesh/_request.py
@@ -19,9 +19,7 @@
     With teams in the configuration, the header with the API key is left out.
     """
     has_teams = has_teams_in_force(parts)
-    priority_class = route.priority_class
-    if has_teams:
-        priority_class = find_priority_class(route, team)
+    priority_class = find_priority_class(parts, route, team)
     names = parts.headers
     own = (
         names.deadline_ms,
@@ -50,23 +48,25 @@
     )
 
 
-def find_priority_class(route: routes.Route, team: teams.Team | None) -> int:
+def find_priority_class(
+    parts: _mesh_parts.MeshParts, route: routes.Route, team: teams.Team | None
+) -> int:
     """Return the class of a request, in which its team goes before its route."""
+    if not has_teams_in_force(parts):
+        return route.priority_class
     team_class = 0 if team is None else team.priority_class
     within = min(route.priority_class, CLASSES_PER_TEAM_CLASS - 1)
     return CLASSES_PER_TEAM_CLASS * team_class + within
 
 
-def name_throttle(
-    route: routes.Route, request: calls.CallRequest, team: teams.Team | None
-) -> tuple[str, int]:
-    """Return the name and the class of a request's throttle.
+def name_throttle(route: routes.Route, team: teams.Team | None) -> str:
+    """Return the name of the throttle of requests of a route and a team.
 
     Requests of one route have a throttle for each class of their teams.
     """
     if team is None or not team.priority_class:
-        return route.name, request.priority_class
-    return f"{route.name} (team class {team.priority_class})", request.priority_class
+        return route.name
+    return f"{route.name} (team class {team.priority_class})"
 
 
 def has_teams_in_force(parts: _mesh_parts.MeshParts) -> bool:
