Accept an answer before the first round is scheduled

Cause: the pacing of questions took a scheduled round for granted. Change: without one, an answer changes no pause.

--- a/src/jujubetiller/mesh/_store_reading.py
+++ b/src/jujubetiller/mesh/_store_reading.py
@@ -233,7 +233,7 @@
     def _advance_round(self) -> None:
         """Start the next round once the reader should have its next proof."""
         pause_ms = self.pacing.draw_answered_pause_ms(self.parts.state_age.age_ms())
-        if pause_ms is None or self.is_stopped or not self.next_round.active():
+        if pause_ms is None or self.is_stopped or self.next_round is None:
             return
         left_s = self.next_round.getTime() - self.parts.reactor.seconds()
         if pause_ms / 1000.0 < left_s:
