Give teams their burst from a pool that returns after a window

Cause: a hot team got its rate and no more once its bucket was empty, although the bound of the quota (rate and burst in each window) was not reached: in each window of 5 s it was refused while it was below its limit. Change: 0.9 of the rate is generated all the time, buckets hold 0.2 s of the rate and the slack, and the rest of the bound is a pool: what it grants returns as a whole once it belongs to no window any more. A share counts for the pool after it was held that long.

--- a/src/jujubetiller/quotas/_coordinator.py
+++ b/src/jujubetiller/quotas/_coordinator.py
@@ -8,6 +8,7 @@
 from jujubetiller import clock
 from jujubetiller.quotas import (
     _delegations,
+    _lowest_share,
     _messages,
     _team_limit,
     _token_bucket,
@@ -54,6 +55,9 @@
         self.share_ms = 0.0
         """The integral of the sum of all shares over time."""
 
+        self.lowest: dict[float, _lowest_share.LowestShare] = {}
+        """The lowest sum of shares in each time that limits cover."""
+
         self.delegations = _delegations.Delegations()
         self.buckets: dict[str, _token_bucket.TokenBucket] = {}
         self.borrowed: dict[str, _token_lots.TokenLots] = {}
@@ -63,7 +67,8 @@
         self, limits: Mapping[str, _team_limit.TeamLimit], lowered: Iterable[str]
     ) -> None:
         """Apply the limits in force; ``lowered`` are the teams whose limit fell."""
-        self.advance()
+        now_ms = self.advance()
+        self._cover({limit.covered_ms for limit in limits.values()}, now_ms)
         for team, limit in limits.items():
             bucket = self.buckets.get(team)
             if bucket is None:
@@ -113,9 +118,8 @@
         bucket = self.buckets.get(team)
         if bucket is None:
             return 0.0
-        bucket.settle(self.share_ms, self.delegations.total)
         lots = self.borrowed.get(team)
-        return bucket.tokens + (lots.total(now_ms) if lots else 0.0)
+        return self._available(bucket) + (lots.total(now_ms) if lots else 0.0)
 
     def add_borrowed(self, team: str, amount: float, expires_ms: float) -> None:
         """Add tokens that another zone has granted."""
@@ -142,20 +146,22 @@
             return _messages.Grant(demand.team, 0.0, 0.0, MAX_WAIT_MS)
         whole = math.floor(stock + 1.0 - _token_lots.WHOLE)
         amount = min(math.ceil(demand.needed), whole)
-        depth = bucket.limit.depth * self.delegations.total
-        surplus = math.floor(stock - amount - PREFETCH_PART * depth)
+        size = bucket.limit.depth * self.delegations.total
+        size += bucket.limit.pool * self._lowest_share(bucket)
+        surplus = math.floor(stock - amount - PREFETCH_PART * size)
         amount += max(0, min(math.floor(demand.wanted), surplus))
         return self._take(demand, float(amount))
 
     def grant_to_zone(self, demand: _messages.Demand) -> _messages.Grant:
         """Grant what the own zone is not expected to need, also parts of tokens."""
-        self.stock(demand.team)
+        now_ms = self.advance()
         bucket = self.buckets.get(demand.team)
         if bucket is None:
             return _messages.Grant(demand.team, 0.0, 0.0, MAX_WAIT_MS)
         # Borrowed tokens are not lent on: two zones would lend them to each other.
-        spare = bucket.tokens - self.expected(demand.team, KEPT_MS)
-        amount = bucket.take(max(0.0, min(demand.needed, spare)))
+        spare = self._available(bucket) - self.expected(demand.team, KEPT_MS)
+        wanted = max(0.0, min(demand.needed, spare))
+        amount = bucket.take(wanted, self._lowest_share(bucket), now_ms)
         amount = math.floor(amount * 1000.0) / 1000.0
         return _messages.Grant(demand.team, amount, _team_limit.TOKEN_LIFE_MS, 0.0)
 
@@ -180,13 +186,33 @@
             if not lots.lots:
                 del self.borrowed[demand.team]
         bucket = self.buckets[demand.team]
-        bucket.take(rest)
+        bucket.take(rest, self._lowest_share(bucket), now_ms)
         missing = demand.needed - amount
         wait_ms = 0.0
         if missing > 0.0:
-            wait_ms = self.wait_ms(demand.team, max(0.0, missing - bucket.tokens))
+            left = self._available(bucket)
+            wait_ms = self.wait_ms(demand.team, max(0.0, missing - left))
         return _messages.Grant(demand.team, amount, left_ms, wait_ms)
 
+    def _available(self, bucket: _token_bucket.TokenBucket) -> float:
+        """Return the tokens of a bucket and its pool, up to the last ``advance``."""
+        bucket.settle(self.share_ms, self.delegations.total)
+        return bucket.available(self._lowest_share(bucket), self.at_ms)
+
+    def _lowest_share(self, bucket: _token_bucket.TokenBucket) -> float:
+        return self.lowest[bucket.limit.covered_ms].read(self.at_ms)
+
+    def _cover(self, times_ms: Iterable[float], now_ms: float) -> None:
+        """Keep the lowest sums of shares in ``times_ms``, and no others."""
+        kept = {}
+        for covered_ms in times_ms:
+            lowest = self.lowest.get(covered_ms)
+            if lowest is None:
+                lowest = _lowest_share.LowestShare(covered_ms, now_ms)
+                lowest.record(self.delegations.total, now_ms)
+            kept[covered_ms] = lowest
+        self.lowest = kept
+
     def _settle_after_change(self, before: float) -> None:
         """Settle all buckets if the sum of the shares was ``before`` and has changed.
 
@@ -196,3 +222,5 @@
         if total != before:
             for bucket in self.buckets.values():
                 bucket.settle(self.share_ms, min(before, total))
+            for lowest in self.lowest.values():
+                lowest.record(total, self.at_ms)
--- a/src/jujubetiller/quotas/_team_limit.py
+++ b/src/jujubetiller/quotas/_team_limit.py
@@ -1,5 +1,7 @@
 """The rate and the depth that all nodes together have for one team."""
 
+import math
+
 import attrs
 
 from jujubetiller import settings
@@ -24,20 +26,38 @@
 """Part by which a node prolongs the time of a share that another one uses: two clocks
 may differ by 2%."""
 
+RATE_PART = 0.9
+"""Part of a team's rate that is generated all the time. The pool gives the rest, and
+bursts: in each window, it has what the bound leaves beside generation."""
+
+DEPTH_S = 0.2
+"""Time of a team's rate that its buckets hold beside the slack of the bound, for
+requests that come unevenly. The slack is most of what a small team has."""
+
 _LIFE_S = 1.02
 _FASTEST_CLOCK = 1.0125
 
 
 @attrs.frozen
 class TeamLimit:
-    """What all nodes together may generate for a team, and hold in their buckets."""
+    """What all nodes together may generate for a team, hold, and grant from pools."""
 
     rate_per_ms: float
     depth: float
 
+    pool: float = 0.0
+    """Tokens that can be granted in any ``covered_ms`` beside the generated ones."""
+
+    covered_ms: float = 6_095.25
+    """Time in which tokens may have been granted that are used in one window."""
+
     def is_lower(self, other: "TeamLimit") -> bool:
-        """Return whether the rate or the depth is below that of ``other``."""
-        return self.rate_per_ms < other.rate_per_ms or self.depth < other.depth
+        """Return whether a part of the limit is below that of ``other``."""
+        return (
+            self.rate_per_ms < other.rate_per_ms
+            or self.depth < other.depth
+            or self.pool < other.pool
+        )
 
 
 def derive_limit(
@@ -45,18 +65,22 @@
 ) -> TeamLimit:
     """Return the limit with which a team keeps the bound in each window.
 
-    In a window, the stock at its start, what is generated in it, and what was granted
-    while tokens granted then can still be used may be admitted. The depth is what the
-    bound leaves beside generation; the rate is lowered if that is less than a token.
+    In a window, the stock at its start, what is generated in it, what was granted while
+    tokens granted then can still be used, and the pool may be admitted. The pool is
+    what the bound leaves; if that is nothing, the rate is lowered.
 
     >>> derive_limit(100.0, 40.0, settings.QuotaSettings())
-    TeamLimit(rate_per_ms=0.1, depth=85.475)
+    TeamLimit(rate_per_ms=0.09, depth=40.0, pool=106.4275, covered_ms=6095.25)
     """
     window_s = quota.window_ms / 1000.0
     bound = (rate_per_s * window_s + burst) * (1.0 + quota.overshoot) + quota.slack
     covered_s = (window_s + _LIFE_S) * _FASTEST_CLOCK
-    depth = bound - covered_s * rate_per_s
-    if depth < 1.0:
-        depth = min(1.0, bound)
-        rate_per_s = (bound - depth) / covered_s
-    return TeamLimit(rate_per_s / 1000.0, round(depth, 6))
+    depth = min(bound, max(1.0, DEPTH_S * rate_per_s + quota.slack))
+    generated_per_s = min(RATE_PART * rate_per_s, (bound - depth) / covered_s)
+    pool = max(0.0, bound - depth - covered_s * generated_per_s)
+    return TeamLimit(
+        generated_per_s / 1000.0,
+        round(depth, 6),
+        math.floor(pool * 1e6) / 1e6,
+        round(covered_s * 1000.0, 6),
+    )
