Rank calls without a team behind client requests of all teams

Cause: calls of targets have no team and got the class of the most important one. At a full service that clients and targets use, all calls of targets went before the requests of clients of less important teams, even on more important routes. Change: a request without a team counts as one of the least important team in force.

--- a/src/jujubetiller/mesh/_request.py
+++ b/src/jujubetiller/mesh/_request.py
@@ -51,10 +51,18 @@
 def find_priority_class(
     parts: _mesh_parts.MeshParts, route: routes.Route, team: teams.Team | None
 ) -> int:
-    """Return the class of a request, in which its team goes before its route."""
-    if not has_teams_in_force(parts):
+    """Return the class of a request, in which its team goes before its route.
+
+    A request without a team, such as a call of a target, may be made for any of them.
+    It counts as one of the least important team: otherwise all such calls would go
+    before what the clients of those teams ask for themselves.
+    """
+    configuration = parts.configuration.current
+    if configuration is None or not configuration.team_table:
         return route.priority_class
-    team_class = 0 if team is None else team.priority_class
+    team_class = configuration.team_table.least_important_class
+    if team is not None:
+        team_class = team.priority_class
     within = min(route.priority_class, CLASSES_PER_TEAM_CLASS - 1)
     return CLASSES_PER_TEAM_CLASS * team_class + within
 
--- a/src/jujubetiller/teams/_team_table.py
+++ b/src/jujubetiller/teams/_team_table.py
@@ -32,6 +32,11 @@
                         f"teams {holder.name!r:.80} and {team.name!r:.80} share a key"
                     )
 
+        self.least_important_class = max(
+            (team.priority_class for team in self.by_name.values()), default=0
+        )
+        """The priority class of the least important teams."""
+
     def __eq__(self, other: object) -> bool:
         return isinstance(other, TeamTable) and self.by_name == other.by_name
 
--- a/tests/mesh/test_keys.py
+++ b/tests/mesh/test_keys.py
@@ -12,7 +12,7 @@
 import pytest
 
 from jujubetiller import calls, clock, codes, edge
-from jujubetiller.mesh import _entry_checks, _key_check
+from jujubetiller.mesh import _entry_checks, _key_check, _request
 from standins.mesh_site import documents
 from tests.mesh import local_mesh
 
@@ -380,3 +380,18 @@
         assert reference() is None
     finally:
         gc.enable()
+
+
+def test_a_call_without_a_team_does_not_go_before_clients_of_any_team() -> None:
+    """Calls of targets on less important routes would fill the queues of services."""
+    mesh = KeyMesh()
+    configuration = mesh.parts.configuration.current
+    assert configuration is not None
+    important = attrs.evolve(configuration.routes[0], priority_class=0)
+    lookup = attrs.evolve(configuration.routes[0], priority_class=1)
+    teams_in_force = configuration.team_table.by_name.values()
+    assert len({team.priority_class for team in teams_in_force}) > 1
+    without_team = _request.find_priority_class(mesh.parts, lookup, None)
+    for team in teams_in_force:
+        with_team = _request.find_priority_class(mesh.parts, important, team)
+        assert with_team < without_team
