List the store when a watch leaves out changes

Cause: an answer to a watch that named a later revision than its last event was applied as complete: the change in between was lost for good, and the node's knowledge counted as young. An empty answer that was made early and held up proved a wait that had not been. A reader whose server lags behind read without a pause while a proof was due. Change: such an answer makes a listing due and proves nothing; an answer that comes more than 150 ms after its wait proves only its start, which a test now expects; reads from a server that lags have the pause of changes.

--- a/src/jujubetiller/platform/_store_reader.py
+++ b/src/jujubetiller/platform/_store_reader.py
@@ -63,6 +63,12 @@
         self.had_changes = False
         """Whether the last watch returned changes."""
 
+        self.lags_behind = False
+        """Whether the last watch was answered by a server that lags behind."""
+
+        self.short_answers = 0
+        """Answers to watches that left out changes."""
+
         self.bad_answers = 0
         """Answers that could not be decoded or applied."""
 
@@ -157,6 +163,7 @@
         """Return the numbers of answers that were not applied, by reason."""
         return {
             "answer_malformed": self.bad_answers,
+            "answer_short": self.short_answers,
             "item_malformed": self.bad_rows,
             "epoch_malformed": self.epoch_reader.malformed,
             "answer_of_older_history": self.position.rejected_answers,
@@ -185,18 +192,20 @@
     def _draw_pause_ms(self) -> float:
         """Return the pause after a read that did not fail."""
         repeats_listings = self.position.repeats_listings()
-        if not self.had_changes and not repeats_listings:
+        if not (self.had_changes or repeats_listings or self.lags_behind):
             return 0.0
         pause_ms = self.random.uniform(
             SHORTEST_CHANGES_PAUSE_MS, LONGEST_CHANGES_PAUSE_MS
         )
-        if repeats_listings:
+        if repeats_listings or self.lags_behind:
+            # A proof may be due, which the next read is as unlikely to bring.
             return pause_ms
         return self.freshness.limit_pause_ms(pause_ms)
 
     async def _read_once(self) -> str | None:
         """List or watch once; return the reason of a failure, or ``None``."""
         self.had_changes = False
+        self.lags_behind = False
         self.is_watch_replaced = False
         try:
             if self.position.is_listing_due():
@@ -261,9 +270,17 @@
         self.position.record_watch()
         self.backoff.reset()
         as_of = answer.read_revision()
+        if not rows.problems and as_of > max(
+            (event.revision for event in events), default=after
+        ):
+            # A watch covers all keys, so that its last event has the answer's revision.
+            # The store has left changes out: only a listing shows what is missing.
+            self.short_answers += 1
+            self.position.record_expired(after)
+            return None
         self._apply(published.Changes(max(after, as_of), events, False))
-        if as_of >= after:
-            # Otherwise the answer is from a server that lags behind.
+        self.lags_behind = as_of < after
+        if not self.lags_behind:
             self.freshness.proofs.record_read(
                 started_ms, 0.0 if rows.has_any() else wait_ms
             )
--- a/src/jujubetiller/published/_store_proofs.py
+++ b/src/jujubetiller/published/_store_proofs.py
@@ -20,6 +20,10 @@
 """Age of the own proof from which the usual pauses apply, as failed reads cost too."""
 
 
+LONGEST_WAY_MS = 150.0
+"""An answer that comes later than this after a watch's wait does not prove the wait."""
+
+
 class StoreProofs:
     """Records until when the reads of this node prove the state of the store.
 
@@ -48,7 +52,9 @@
         nothing. An answer that came earlier shows that it has not waited as long.
         """
         waited_ms = CLOCK_TOLERANCE * empty_wait_ms
-        is_whole_wait = self.now_ms() - started_ms >= waited_ms
+        took_ms = self.now_ms() - started_ms
+        # An answer that comes much later may have been made early and held up.
+        is_whole_wait = waited_ms <= took_ms <= empty_wait_ms + LONGEST_WAY_MS
         as_of_ms = started_ms + waited_ms if is_whole_wait else started_ms
         self.own_as_of_ms = max(self.own_as_of_ms, as_of_ms)
         self.state_age.record_read(as_of_ms)
--- a/tests/platform/test_store_proofs.py
+++ b/tests/platform/test_store_proofs.py
@@ -1,5 +1,6 @@
 """Guards against answers of the store that count as proofs although they are none."""
 
+import json
 import math
 from typing import Any
 
@@ -93,3 +94,26 @@
     if not read.done.called:
         read.done.callback(ok(b'{"events": [], "as_of": 4}'))
     assert world.source.freshness.proofs.own_as_of_ms == before_ms
+
+
+@pytest.mark.parametrize("events", [[], [{"key": "a", "revision": 2, "value": "MQ=="}]])
+def test_changes_that_a_watch_leaves_out_are_listed(events: list[Any]) -> None:
+    """Guards against a change that is lost for good, and a proof that it was seen.
+
+    The answer names a later revision than its last event: the store left out some.
+    """
+    world, before_ms = start_world()
+    after = world.source.state.revision.number
+    world.store.put("op/config", b"new")
+    newest = world.store.revision
+    rows = [{**event, "revision": after + 1} for event in events]
+    assert newest + 5 > after + len(rows)
+    world.store.revision = newest + 5
+    body = json.dumps({"events": rows, "as_of": newest + 5}).encode()
+    answer_watch(world, ok(body, str(world.source.state.revision.epoch)))
+    assert world.source.state.revision.number == after
+    assert world.source.freshness.proofs.own_as_of_ms == before_ms
+    world.run(2.0)
+    assert world.source.short_answers == 1
+    assert world.source.state.revision.number >= newest
+    assert world.source.freshness.proofs.own_as_of_ms > before_ms
--- a/tests/published/test_store_proofs.py
+++ b/tests/published/test_store_proofs.py
@@ -22,7 +22,7 @@
     [
         ("a read", 0.0, 300.0, 300.0),
         ("a watch that found nothing", 1_000.0, 1_010.0, 30.0),
-        ("its answer was late", 1_000.0, 9_000.0, 8_020.0),
+        ("its answer was late, and may be an early one", 1_000.0, 9_000.0, 9_000.0),
         ("the store's clock is a little fast", 1_000.0, 985.0, 5.0),
         ("the store did not wait", 1_000.0, 400.0, 400.0),
     ],
