--- a/bench/capacity_roles.py
+++ b/bench/capacity_roles.py
@@ -1,6 +1,6 @@
 """The roles of a node, as rows of the capacity page."""
 
-from bench import capacity_model
+from bench import capacity_model, capacity_team_rows
 
 HEADER = ("role", "state", "messages", "processor", "memory", "mechanism")
 
@@ -80,6 +80,7 @@
             "the same",
             "two of a zone; push along a tree of fan-out 6, rounds as the safety net",
         ),
+        *capacity_team_rows.ROWS,
         (
             "reader of the platform",
             "versions of the index, its zone's list and the list of zones",
