Split the reader of the store

Change: the pages of a listing, what a watch leaves out and the pauses after changes are in modules of their own; behaviour is unchanged.

--- a/src/jujubetiller/platform/_store_answer.py
+++ b/src/jujubetiller/platform/_store_answer.py
@@ -36,6 +36,17 @@
             )
         return len(self.problems)
 
+    def lacks_changes(
+        self, after: published.Revision, as_of: published.Revision
+    ) -> bool:
+        """Return whether a watch from ``after`` has left out changes up to ``as_of``.
+
+        A watch covers all keys, so that its last event has the answer's revision.
+        """
+        if self.problems:
+            return False
+        return as_of > max((item.revision for item in self.items), default=after)
+
     def has_any(self) -> bool:
         """Return whether the answer has rows, also if none of them could be read."""
         return bool(self.items or self.problems)
--- a/src/jujubetiller/platform/_store_reader.py
+++ b/src/jujubetiller/platform/_store_reader.py
@@ -11,17 +11,10 @@
 from twisted.internet import defer, interfaces
 
 from jujubetiller import clock, http_reads, published, schema, settings
-from jujubetiller.platform import _stale_page, _store_answer, _store_epoch
+from jujubetiller.platform import _listing, _stale_page, _store_answer, _store_epoch
 
 _LOG = logbook.Logger("jujubetiller.platform")
 
-LONGEST_CHANGES_PAUSE_MS = 1_000.0
-"""Pause after a watch that returned changes. Changes often come in series, and several
-are received in one answer."""
-
-SHORTEST_CHANGES_PAUSE_MS = 200.0
-"""The pauses of the readers differ, so that one of them mostly has its watch open."""
-
 
 class StoreReader(published.ItemSource):
     """Lists the store, then watches it, as ``published.StorePosition`` decides.
@@ -191,16 +184,12 @@
 
     def _draw_pause_ms(self) -> float:
         """Return the pause after a read that did not fail."""
-        repeats_listings = self.position.repeats_listings()
-        if not (self.had_changes or repeats_listings or self.lags_behind):
+        # A proof may be due, which repeated listings or a server that lags behind are
+        # unlikely to bring.
+        brings_no_proof = self.position.repeats_listings() or self.lags_behind
+        if not (self.had_changes or brings_no_proof):
             return 0.0
-        pause_ms = self.random.uniform(
-            SHORTEST_CHANGES_PAUSE_MS, LONGEST_CHANGES_PAUSE_MS
-        )
-        if repeats_listings or self.lags_behind:
-            # A proof may be due, which the next read is as unlikely to bring.
-            return pause_ms
-        return self.freshness.limit_pause_ms(pause_ms)
+        return self.freshness.draw_pause_ms(brings_no_proof)
 
     async def _read_once(self) -> str | None:
         """List or watch once; return the reason of a failure, or ``None``."""
@@ -218,28 +207,18 @@
 
     async def _list(self) -> str | None:
         started_ms = self.freshness.proofs.now_ms()
-        items: list[published.PublishedItem] = []
-        revision: published.Revision | None = None
-        query = {"prefix": ""}
-        while True:
+        listing = _listing.Listing()
+        while not listing.is_whole:
             answer = await self._get(
-                "/kv-range", query, self.settings.answer_timeout_ms
+                "/kv-range", listing.query, self.settings.answer_timeout_ms
             )
-            if answer.status != _store_answer.OK:
-                return f"listing failed: {answer.status}"
-            rows = answer.read_items("items")
-            self.bad_rows += rows.log_problems()
-            items += rows.items
-            as_of = answer.read_revision()
-            revision = as_of if revision is None else min(revision, as_of)
-            if as_of.epoch != revision.epoch:
-                return "listing failed: its pages are from two histories"
-            if not answer.page.get("truncated") or not rows.last_key:
-                break
-            query["after"] = rows.last_key
-        if not self.position.accept_listing(revision):
-            return f"listing failed: {revision} can't be watched"
-        self._apply(published.Changes(revision, tuple(items), True))
+            problem = listing.add(answer)
+            if problem is not None:
+                return f"listing failed: {problem}"
+        self.bad_rows += listing.bad_rows
+        if not self.position.accept_listing(listing.revision):
+            return f"listing failed: {listing.revision} can't be watched"
+        self._apply(published.Changes(listing.revision, tuple(listing.items), True))
         self.freshness.proofs.record_read(started_ms)
         return None
 
@@ -270,11 +249,8 @@
         self.position.record_watch()
         self.backoff.reset()
         as_of = answer.read_revision()
-        if not rows.problems and as_of > max(
-            (event.revision for event in events), default=after
-        ):
-            # A watch covers all keys, so that its last event has the answer's revision.
-            # The store has left changes out: only a listing shows what is missing.
+        if rows.lacks_changes(after, as_of):
+            # Only a listing shows what is missing.
             self.short_answers += 1
             self.position.record_expired(after)
             return None
--- a/src/jujubetiller/published/_store_freshness.py
+++ b/src/jujubetiller/published/_store_freshness.py
@@ -18,6 +18,13 @@
 MIN_WAIT_MS = 200.0
 """A shorter wait is left out, as it would cost a read for little."""
 
+LONGEST_CHANGES_PAUSE_MS = 1_000.0
+"""Pause after a watch that returned changes. Changes often come in series, and several
+are received in one answer."""
+
+SHORTEST_CHANGES_PAUSE_MS = 200.0
+"""The pauses of the readers differ, so that one of them mostly has its watch open."""
+
 SHORTEST_OUTAGE_MS = 3_000.0
 """In a shorter outage of the store, no entry of a running instance expires: that takes
 three heartbeats of 1,500 ms, the first of which may have been due when it began."""
@@ -97,6 +104,16 @@
         self.watch_ends_at_ms = self.clock.now_ms() + wait_ms
         return int(wait_ms)
 
+    def draw_pause_ms(self, brings_no_proof: bool) -> float:
+        """Return the pause after a watch that returned changes, or is to be repeated.
+
+        It ends when a new proof is due, unless the next read is unlikely to bring one.
+        """
+        pause_ms = self.random.uniform(
+            SHORTEST_CHANGES_PAUSE_MS, LONGEST_CHANGES_PAUSE_MS
+        )
+        return pause_ms if brings_no_proof else self.limit_pause_ms(pause_ms)
+
     def limit_pause_ms(self, pause_ms: float) -> float:
         """Return the pause after a read, which ends when a new proof is due."""
         if self._is_proving():
