Keep the order of the fair queue when teams come into force

Cause: set_order rebuilt the buckets of the fair queue but not its teams, so entries that waited when teams came into force or ended raised KeyError in pop, remove and pop_expired. On an empty queue the order by class replaced the fair one, and nested calls lost their precedence.

Tickets that name a queue order have no effect on the fair queue either.

--- a/src/jujubetiller/limits/_fair_admission_queue.py
+++ b/src/jujubetiller/limits/_fair_admission_queue.py
@@ -2,7 +2,12 @@
 
 import collections
 
-from jujubetiller.limits import _admission_queue, _fair_queue_order, _guard_entry
+from jujubetiller.limits import (
+    _admission_queue,
+    _fair_queue_order,
+    _guard_entry,
+    _queue_order,
+)
 
 _Entries = collections.OrderedDict[_guard_entry.GuardEntry, None]
 
@@ -56,6 +61,13 @@
             del self.teams[entry.bucket]
         super().remove(entry)
 
+    def set_order(self, order: _queue_order.QueueOrder) -> None:
+        """Keep the queue's own order, whatever ``order`` is.
+
+        Settings, tickets and teams choose between orders that don't know nested calls
+        of running requests; the buckets and teams of waiting entries stay valid.
+        """
+
     def _choose_evicted(
         self, entry: _guard_entry.GuardEntry
     ) -> _guard_entry.GuardEntry:
--- a/tests/mesh/test_admission_by_cost.py
+++ b/tests/mesh/test_admission_by_cost.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from jujubetiller import codes, settings
+from jujubetiller import codes, limits, settings
+from standins.mesh_site import documents
 from tests.mesh import local_mesh
 
 STAMP = ("Jujubetiller-Server-Stamp", "s")
@@ -82,3 +83,21 @@
     costs = [dict(answer.costs).get("ledger", 0.0) for answer in node.answers]
     assert (max(costs) > 0.0) is (status == 200)
     assert dict(node.answers[-1].loads)["ledger"] < 1.0
+
+
+@pytest.mark.parametrize(
+    ("features", "changes"), [(settings.FeatureSettings(), 1), (BY_COST, 0)]
+)
+def test_teams_that_come_into_force_leave_the_queue_of_admission_by_cost(
+    features: settings.FeatureSettings,
+    changes: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against nested calls that wait behind client requests of their class."""
+    node = local_mesh.LocalMesh(features)
+    orders: list[limits.QueueOrder] = []
+    monkeypatch.setattr(node.parts.guard, "set_order", orders.append)
+    rows = [{"name": "kitchen", "api_keys": ["key"], "priority": 0}]
+    value = documents.encode(documents.CONFIGURATION, version="0000000d", tenants=rows)
+    node.publish("op/config", value)
+    assert len(orders) == changes
