Give each eighth start to the buckets after the first in turn

Cause: each eighth start of the fair queue was of the last bucket, so a class between the first and the last one starved behind a full first one.

Change: the starts for the floor take all buckets but the first in turn.

Result: with four classes waiting, the eighth starts are of classes 1, 2, 3, 1, 2, 3 instead of 3 each time.

--- a/src/jujubetiller/limits/_fair_admission_queue.py
+++ b/src/jujubetiller/limits/_fair_admission_queue.py
@@ -13,20 +13,25 @@
 
 
 FLOOR_INTERVAL = 8
-"""Each of this many starts is of the last bucket: without it, calls of the least
-important requests that entry nodes admitted would fail after using other services."""
+"""Each of this many starts is of a bucket other than the first: without it, calls of
+less important requests that entry nodes admitted would fail after using other
+services."""
 
 
 class FairAdmissionQueue(_admission_queue.AdmissionQueue):
     """Starts the oldest entry of each team in turn, within the first bucket.
 
-    Each ``FLOOR_INTERVAL``-th start is of the last bucket instead. A full queue evicts
+    Each ``FLOOR_INTERVAL``-th start is of one of the other buckets in turn, as each of
+    them would starve behind a full first bucket otherwise. A full queue evicts
     the newest entry of the team that has the most in the last bucket.
     """
 
     def __init__(self, capacity: int) -> None:
         super().__init__(_fair_queue_order.FairQueueOrder(), capacity)
         self.starts = 0
+        self.floor_bucket = -1
+        """Bucket of the latest start that was not of the first one."""
+
         # By bucket, the teams that have entries in it; the one whose turn it is first.
         self.teams: dict[int, collections.OrderedDict[str, _Entries]] = {}
 
@@ -43,8 +48,10 @@
         if not self.length:
             return None
         self.starts += 1
-        is_floor = self.starts % FLOOR_INTERVAL == 0
-        teams = self.teams[self.sorted_buckets[-1 if is_floor else 0]]
+        bucket = self.sorted_buckets[0]
+        if self.starts % FLOOR_INTERVAL == 0 and len(self.sorted_buckets) > 1:
+            bucket = self.floor_bucket = self._next_floor_bucket()
+        teams = self.teams[bucket]
         team = next(iter(teams))
         teams.move_to_end(team)
         entry = next(iter(teams[team]))
@@ -61,6 +68,11 @@
             del self.teams[entry.bucket]
         super().remove(entry)
 
+    def _next_floor_bucket(self) -> int:
+        """Return the next bucket after the latest one, without the first."""
+        others = self.sorted_buckets[1:]
+        return next((b for b in others if b > self.floor_bucket), others[0])
+
     def set_order(self, order: _queue_order.QueueOrder) -> None:
         """Keep the queue's own order, whatever ``order`` is.
 
--- a/tests/limits/test_fair_admission_queue.py
+++ b/tests/limits/test_fair_admission_queue.py
@@ -39,3 +39,15 @@
     assert [queue.pop(False) for _ in range(3)] == [nested, first, None]
     queue.push(second)
     assert list(queue.pop_expired(1e7)) == [second]
+
+
+def test_starts_for_the_floor_take_the_other_buckets_in_turn() -> None:
+    """Guards against middle classes that starve while the last one is served."""
+    queue = limits.FairAdmissionQueue(200)
+    for priority_class in (0, 1, 2, 3):
+        for _ in range(40):
+            queue.push(make_entry(priority_class))
+    popped = [queue.pop(False) for _ in range(48)]
+    eighths = [entry for entry in popped[7::8] if entry is not None]
+    classes = [entry.rank // limits.RANKS_PER_CLASS for entry in eighths]
+    assert classes == [1, 2, 3, 1, 2, 3]
