Keep an eighth of a full fair queue for the buckets after the first

Cause: a full queue refused entries of later buckets on arrival, or evicted them first. So the starts for the floor found none of them.

Change: an eighth of the queue is kept for the buckets after the first, in equal parts; the last bucket that exceeds its part makes room.

--- a/src/jujubetiller/limits/_fair_admission_queue.py
+++ b/src/jujubetiller/limits/_fair_admission_queue.py
@@ -22,7 +22,8 @@
     """Starts the oldest entry of each team in turn, within the first bucket.
 
     Each ``FLOOR_INTERVAL``-th start is of one of the other buckets in turn, as each of
-    them would starve behind a full first bucket otherwise. A full queue evicts
+    them would starve behind a full first bucket otherwise. For the same reason, entries
+    of the others may take as large a part of the queue. Beyond it, a full queue evicts
     the newest entry of the team that has the most in the last bucket.
     """
 
@@ -83,12 +84,26 @@
     def _choose_evicted(
         self, entry: _guard_entry.GuardEntry
     ) -> _guard_entry.GuardEntry:
-        if not self.sorted_buckets or entry.bucket > self.sorted_buckets[-1]:
+        bucket = self._choose_bucket_to_evict(entry.bucket)
+        teams = self.teams.get(bucket)
+        if teams is None:
             return entry
-        worst = self.sorted_buckets[-1]
-        teams = self.teams[worst]
         longest = max(teams.values(), key=len)
         of_team = teams.get(entry.team, ())
-        if entry.bucket == worst and len(of_team) >= len(longest):
+        if entry.bucket == bucket and len(of_team) >= len(longest):
             return entry
         return next(reversed(longest))
+
+    def _choose_bucket_to_evict(self, new_bucket: int) -> int:
+        """Return the bucket that exceeds its part of the queue.
+
+        ``new_bucket`` is the bucket of an entry that is to be added.
+        """
+        lengths = {number: len(self.buckets[number]) for number in self.sorted_buckets}
+        lengths[new_bucket] = lengths.get(new_bucket, 0) + 1
+        first, *others = sorted(lengths)
+        reserved = self.capacity // FLOOR_INTERVAL
+        if sum(lengths[number] for number in others) <= reserved:
+            return first
+        part = reserved / len(others)
+        return next(number for number in reversed(others) if lengths[number] > part)
