Look up the shares of rare teams by route and class

Cause: shares of rare teams were kept by route, with the class of whichever team of the route came last. Rare teams of the top class got the share of the last one, and the reverse. Teams over the bound of keys were treated as one of the class that came last.

Change: both are kept by route and class.

Result: 2,000 rare teams each of classes 0 and 3 on one route at a fraction of 0.6: before, none of class 3 refused, or 1,536 of class 0, depending on the order; now less than 100 of class 0 and more than 1,000 of class 3.

--- a/src/jujubetiller/admission/_entry_admission.py
+++ b/src/jujubetiller/admission/_entry_admission.py
@@ -51,15 +51,15 @@
 """Requests of a route and team below this rate are forgotten."""
 
 MAX_KEYS = 4_096
-"""Routes and teams; further teams are treated as one."""
+"""Routes and teams; further teams of a class are treated as one."""
 
 LOG_INTERVAL_MS = 1_000.0
 
 _OTHER_TEAMS = "\n"
-"""Stands for the teams over the bound; no team has this name."""
+"""Stands, with a class, for the teams over the bound; no team has this name."""
 
 _RARE_TEAM = "\r"
-"""Stands for a team with hardly any requests; no team has this name."""
+"""Stands, with a class, for a team with hardly any requests; no team has this name."""
 
 _RARE_PER_S = 1e-6
 
@@ -112,9 +112,9 @@
         """The fractions that the reports are about."""
 
         self.offered: dict[tuple[str, str], _Offered] = {}
-        self.rare_shares: dict[str, float] = {}
-        """Shares of requests of rare teams, by route. Their own rates are forgotten
-        between two requests, and there may be many of them."""
+        self.rare_shares: dict[tuple[str, int], float] = {}
+        """Shares of requests of rare teams, by route and class. Their own rates are
+        forgotten between two requests, and there may be many of them."""
 
         self.advanced_at_ms = time_source.now_ms()
         self.logged_at_ms = -math.inf
@@ -159,7 +159,7 @@
     def _add(self, route: str, priority_class: int, team: str) -> _Offered:
         if len(self.offered) >= MAX_KEYS:
             self.over_bound += 1
-            team = _OTHER_TEAMS
+            team = f"{_OTHER_TEAMS}{priority_class}"
             if (route, team) not in self.offered:
                 self.offered.pop(next(iter(self.offered)))
         # Random, so that the first requests of many rare routes are not all refused.
@@ -167,7 +167,7 @@
             (route, team),
             _Offered(
                 priority_class,
-                share=self.rare_shares.get(route, 1.0),
+                share=self.rare_shares.get((route, priority_class), 1.0),
                 credit=self.random.random(),
             ),
         )
@@ -210,15 +210,20 @@
         for found in self.offered.values():
             found.share = 1.0
         self.rare_shares = {}
-        classes = {key[0]: one.priority_class for key, one in self.offered.items()}
+        # Teams of one route may have different classes. The class is a part of the
+        # name, because shares are returned by route and team.
+        rare = {
+            (route, f"{_RARE_TEAM}{one.priority_class}"): (route, one.priority_class)
+            for (route, _), one in self.offered.items()
+        }
         for service, fraction in self.fractions.items():
             offers = []
-            for route, priority_class in classes.items():
+            for (route, team), (_, priority_class) in rare.items():
                 cost_ms = (self.costs.find(route) or {}).get(service, 0.0)
                 if cost_ms > 0.0:
                     offers.append(
                         _allocate.Offer(
-                            route, _RARE_TEAM, priority_class, _RARE_PER_S, cost_ms
+                            route, team, priority_class, _RARE_PER_S, cost_ms
                         )
                     )
             for (route, team), found in self.offered.items():
@@ -231,10 +236,9 @@
                     )
             offers = _allocate.drop_negligible(offers)
             for key, share in _allocate.allocate(offers, fraction, floor).items():
-                route, team = key
-                if team == _RARE_TEAM:
-                    known = self.rare_shares.get(route, 1.0)
-                    self.rare_shares[route] = min(known, share)
+                if key in rare:
+                    known = self.rare_shares.get(rare[key], 1.0)
+                    self.rare_shares[rare[key]] = min(known, share)
                 else:
                     self.offered[key].share = min(self.offered[key].share, share)
 
--- a/tests/admission/test_node_admission.py
+++ b/tests/admission/test_node_admission.py
@@ -178,6 +178,26 @@
     assert refused["note"] > 1_000
 
 
+@pytest.mark.parametrize("is_top_last", [True, False])
+def test_rare_teams_of_one_route_get_the_share_of_their_own_class(
+    is_top_last: bool,
+) -> None:
+    """Guards against rare teams of the top class refused as those of the last one."""
+    node = make_node()
+    refused = {0: 0, 3: 0}
+    for number in range(2_000):
+        for priority_class in sorted(refused, reverse=is_top_last):
+            answer = make_answer(costs=(("ledger", 80.0),), loads=(("ledger", 1.0),))
+            node.record_answer("page", answer, False)
+            node.entry.fractions["ledger"] = node.entry.lagged["ledger"] = 0.6
+            team = f"team-{priority_class}-{number}"
+            decision = node.entry.decide("page", priority_class, team)
+            refused[priority_class] += decision is admission.Decision.REFUSE
+        advance(node, 50.0)
+    assert refused[0] < 100
+    assert refused[3] > 1_000
+
+
 def test_offers_beyond_the_bound_are_counted(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("jujubetiller.admission._entry_admission.MAX_KEYS", 3)
     node = make_node()
@@ -185,6 +205,11 @@
         node.entry.decide("page", 1, f"team-{number}")
     assert len(node.entry.offered) == 3
     assert node.entry.over_bound == 7
+    # Teams of another class do not change the class of those that are treated as one.
+    node.entry.decide("page", 2, "team-11")
+    assert len(node.entry.offered) == 3
+    classes = [one.priority_class for one in node.entry.offered.values()]
+    assert sorted(classes) == [1, 1, 2]
 
 
 def test_queue_is_bounded_by_the_time_that_callers_wait() -> None:
