Bound the load factor by the rate limit that a target names

Cause: calls that a rate limit refuses take no slot time, so a target that was offered five times its rate limit reported a factor of 1.3. Where costs are known, the throttle that knows the limit is not asked.

Change: while a limit is named, the factor is at most the share that the rate limiter asks its callers for.

Result: with 100 calls a second, the factor is 0.5 (its minimum) at a limit of 20 and about 0.9 at 75, instead of 1.3; without a limit, or with one of 1,000, it stays 1.3 and is not reported.

--- a/src/jujubetiller/admission/_node_admission.py
+++ b/src/jujubetiller/admission/_node_admission.py
@@ -1,5 +1,6 @@
 """The part of one node in admission by cost."""
 
+import math
 import random
 
 import attrs
@@ -108,7 +109,14 @@
     def close_window(self) -> None:
         """Compute the load factor, and bound the queue by the time that it takes."""
         guard = self.guard
-        self.load.close_window(guard.limit, guard.queue_length, guard.mean_run_ms)
+        # Calls that a rate limit refuses take no slot time.
+        is_rate_limited = guard.rate_limit.per_s is not None
+        self.load.close_window(
+            guard.limit,
+            guard.queue_length,
+            guard.mean_run_ms,
+            guard.rate_limiter.admitted_share() if is_rate_limited else math.inf,
+        )
         if guard.mean_run_ms > 0.0:
             useful = int(MAX_USEFUL_WAIT_MS * guard.limit / guard.mean_run_ms)
             guard.queue.capacity = min(
@@ -131,6 +139,7 @@
                 "limit": self.guard.limit,
                 "queue_length": self.guard.queue_length,
                 "run_ms": round(self.guard.mean_run_ms, 1),
+                "rate_limit_per_s": self.guard.rate_limit.per_s,
             },
         )
 
--- a/src/jujubetiller/admission/_target_load.py
+++ b/src/jujubetiller/admission/_target_load.py
@@ -64,11 +64,18 @@
         """Return whether the current window is over."""
         return self.clock.now_ms() - self.window_started_ms >= WINDOW_MS
 
-    def close_window(self, slots: int, queue_length: int, mean_run_ms: float) -> None:
+    def close_window(
+        self,
+        slots: int,
+        queue_length: int,
+        mean_run_ms: float,
+        highest_factor: float = MAX_FACTOR,
+    ) -> None:
         """Compute the factor from the window, and start the next one.
 
         ``slots`` is the present limit of the guard, ``mean_run_ms`` the mean slot time
-        of its calls.
+        of its calls, ``highest_factor`` a bound on the factor for another reason than
+        slot time.
         """
         now_ms = self.clock.now_ms()
         elapsed_ms = max(now_ms - self.window_started_ms, 1.0)
@@ -83,7 +90,7 @@
             self.shed_share += weight * (self.shed / self.ended - self.shed_share)
         else:
             self.shed_share *= 1.0 - weight
-        factor = GOAL / max(self.load, 1e-6)
+        factor = min(GOAL / max(self.load, 1e-6), highest_factor)
         if self.shed_share > MIN_SHED_SHARE and self.load > MIN_LOAD_OF_SHEDDING:
             factor = min(factor, 1.0 - self.shed_share)
         self.factor = min(max(factor, MIN_FACTOR), MAX_FACTOR)
--- a/tests/admission/test_node_admission.py
+++ b/tests/admission/test_node_admission.py
@@ -108,6 +108,27 @@
     assert load.read() is None
 
 
+@pytest.mark.parametrize(
+    ("limit_per_s", "least", "most"),
+    [(20.0, 0.5, 0.5), (75.0, 0.85, 0.95), (1_000.0, 1.3, 1.3), (None, 1.3, 1.3)],
+)
+def test_load_factor_follows_the_rate_limit_that_a_target_names(
+    limit_per_s: float | None, least: float, most: float
+) -> None:
+    """Guards against requests admitted whose calls the rate limit refuses."""
+    node = make_node()
+    if limit_per_s is not None:
+        node.guard.rate_limit.record_named(limit_per_s)
+    for _ in range(500):
+        entry = make_entry("call", [], [])
+        node.guard.submit(entry)
+        advance(node, 1.0)
+        node.guard.finished(entry, True)
+        advance(node, 9.0)
+    assert least - 0.001 <= node.load.factor <= most + 0.001
+    assert (node.load.read() is None) is (least > 1.0)
+
+
 def test_reports_are_handed_up_only_from_nested_calls() -> None:
     node = make_node()
     answer = make_answer(loads=(("ledger", 0.6),))
