Give starts for the floor to the bucket that was served least recently

Change: the bucket whose latest start of any reason is longest ago gets the start. Buckets that all wait still get it in turn.

--- a/src/jujubetiller/limits/_fair_admission_queue.py
+++ b/src/jujubetiller/limits/_fair_admission_queue.py
@@ -17,21 +17,25 @@
 less important requests that entry nodes admitted would fail after using other
 services."""
 
+MAX_LATEST = 64
+"""Buckets of which the latest start is known; others count as never served."""
+
 
 class FairAdmissionQueue(_admission_queue.AdmissionQueue):
     """Starts the oldest entry of each team in turn, within the first bucket.
 
-    Each ``FLOOR_INTERVAL``-th start is of one of the other buckets in turn, as each of
-    them would starve behind a full first bucket otherwise. For the same reason, entries
-    of the others may take as large a part of the queue. Beyond it, a full queue evicts
-    the newest entry of the team that has the most in the last bucket.
+    Each ``FLOOR_INTERVAL``-th start is of another bucket instead, the one whose latest
+    start is longest ago: each of them would starve behind a full first bucket. For the
+    same reason, entries of the others may take as large a part of the queue. Beyond it,
+    a full queue evicts the newest entry of the team that has the most in the last
+    bucket.
     """
 
     def __init__(self, capacity: int) -> None:
         super().__init__(_fair_queue_order.FairQueueOrder(), capacity)
         self.starts = 0
-        self.floor_bucket = -1
-        """Bucket of the latest start that was not of the first one."""
+        self.latest: collections.OrderedDict[int, int] = collections.OrderedDict()
+        """Number of the latest start by bucket, also of buckets that are empty."""
 
         # By bucket, the teams that have entries in it; the one whose turn it is first.
         self.teams: dict[int, collections.OrderedDict[str, _Entries]] = {}
@@ -51,7 +55,8 @@
         self.starts += 1
         bucket = self.sorted_buckets[0]
         if self.starts % FLOOR_INTERVAL == 0 and len(self.sorted_buckets) > 1:
-            bucket = self.floor_bucket = self._next_floor_bucket()
+            bucket = self._choose_floor_bucket()
+        self._record_start(bucket)
         teams = self.teams[bucket]
         team = next(iter(teams))
         teams.move_to_end(team)
@@ -69,10 +74,17 @@
             del self.teams[entry.bucket]
         super().remove(entry)
 
-    def _next_floor_bucket(self) -> int:
-        """Return the next bucket after the latest one, without the first."""
-        others = self.sorted_buckets[1:]
-        return next((b for b in others if b > self.floor_bucket), others[0])
+    def _choose_floor_bucket(self) -> int:
+        """Return the bucket, without the first, whose latest start is longest ago."""
+        return min(
+            self.sorted_buckets[1:], key=lambda number: self.latest.get(number, 0)
+        )
+
+    def _record_start(self, bucket: int) -> None:
+        self.latest[bucket] = self.starts
+        self.latest.move_to_end(bucket)
+        if len(self.latest) > MAX_LATEST:
+            self.latest.popitem(last=False)
 
     def set_order(self, order: _queue_order.QueueOrder) -> None:
         """Keep the queue's own order, whatever ``order`` is.
--- a/tests/limits/test_fair_admission_queue.py
+++ b/tests/limits/test_fair_admission_queue.py
@@ -56,6 +56,22 @@
     assert classes == [1, 2, 3, 1, 2, 3]
 
 
+def test_a_bucket_that_was_the_first_leaves_the_floor_to_the_others() -> None:
+    """Guards against starts for the floor that go to calls which hardly wait."""
+    queue = limits.FairAdmissionQueue(200)
+    for priority_class in (1, 2):
+        for _ in range(40):
+            queue.push(make_entry(priority_class))
+    classes = []
+    for number in range(32):
+        if number % 8 == 7:
+            queue.push(make_entry(0))
+        entry = queue.pop(False)
+        assert entry is not None
+        classes.append(entry.rank // limits.RANKS_PER_CLASS)
+    assert classes[7::8] == [2, 2, 2, 2]
+
+
 def serve(
     loads: dict[int, float], seconds: float = 30.0, slots: int = 4
 ) -> dict[int, float]:
