Bound the time that a fit of call rates blocks the event loop

Cause: the work of a fit grows with the square of the kinds of requests.

Change: a fit distinguishes 16 kinds, of which the last stands for all with less running time; the costs of these count as unknown. It uses fewer of the kept calls the more kinds there are.

--- a/src/jujubetiller/admission/_cost_estimator.py
+++ b/src/jujubetiller/admission/_cost_estimator.py
@@ -7,7 +7,7 @@
 import attrs
 
 from jujubetiller import clock
-from jujubetiller.admission import _cost_table, _rate_fit
+from jujubetiller.admission import _cost_table, _fit_sample, _rate_fit
 
 TIME_CONSTANT_MS = 15_000.0
 """Time constant with which observations lose weight."""
@@ -272,16 +272,21 @@
             for name, kind in self.kinds.items()
             if kind.exposure_ms > MIN_EXPOSURE_MS
         }
+        if not exposures or not found.events:
+            return
+        fitted, names = _fit_sample.pool_kinds(exposures)
         events = [
-            (math.exp((event.at_ms - self.advanced_at_ms) / TIME_CONSTANT_MS), event)
-            for event in found.events
+            (
+                math.exp((event.at_ms - self.advanced_at_ms) / TIME_CONSTANT_MS),
+                _fit_sample.count_running(event.running, names),
+            )
+            for event in _fit_sample.thin_out(found.events, len(fitted))
         ]
-        if not exposures or not events:
-            return
         start = found.count / sum(exposures.values())
         found.per_ms, found.errors = _rate_fit.improve(
-            {name: found.per_ms.get(name, start) for name in exposures},
-            exposures,
-            [(weight, event.running) for weight, event in events],
+            {name: found.per_ms.get(name, start) for name in fitted},
+            fitted,
+            events,
             found.count,
         )
+        found.errors.pop(_fit_sample.OTHER_KINDS, None)
--- a/tests/admission/test_cost_estimator.py
+++ b/tests/admission/test_cost_estimator.py
@@ -5,6 +5,7 @@
 import pytest
 
 from jujubetiller import admission, clock
+from jujubetiller.admission import _rate_fit
 
 STEP_MS = 2.0
 TRUE_CALLS = {"page": 6.0, "note": 2.0, "ping": 0.0}
@@ -126,3 +127,39 @@
     target.play(10.0, {"page": 20.0}, 0.3)
     empty = admission.CostTable(target.clock)
     assert target.estimator.estimate("booth", "page", empty) is None
+
+
+def test_fits_are_bounded_for_many_kinds(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against fits that block the event loop for tens of milliseconds."""
+    time_source = clock.ManualClock()
+    estimator = admission.CostEstimator(time_source, random.Random(3))
+    fits: list[tuple[int, int]] = []
+    improve = _rate_fit.improve
+
+    def record(
+        rates: dict[str, float],
+        exposures: dict[str, float],
+        events: _rate_fit.Events,
+        count: float,
+    ) -> tuple[dict[str, float], dict[str, float]]:
+        fits.append((len(rates), len(events)))
+        assert all(running.keys() <= rates.keys() for _, running in events)
+        return improve(rates, exposures, events, count)
+
+    monkeypatch.setattr(_rate_fit, "improve", record)
+    for number in range(3_000):
+        kind = f"kind-{number % 64 if number % 3 else 0}"
+        estimator.record_start(kind)
+        time_source.advance(20.0)
+        estimator.record_call("lookup")
+        estimator.record_end(kind, 20.0, True)
+        estimator.update_if_due()
+    assert max(kinds for kinds, _ in fits) == 16
+    assert max(events * (kinds * kinds + 30) for kinds, events in fits) <= 40_000
+    # The kinds of least exposure are fitted as one, and their costs are unknown.
+    below = admission.CostTable(time_source)
+    below.record("lookup", (("roster", 22.0),))
+    assert estimator.calls_per_request("kind-0")["lookup"] == pytest.approx(1, rel=0.3)
+    known = [f"kind-{n}" in estimator.calls["lookup"].errors for n in range(64)]
+    assert sum(known) == 15
+    assert estimator.estimate("booth", "kind-0", below) is not None
