Evict the last team in turn on a tie in the fair queue

Cause: of teams with equally many entries, the one whose turn is next lost its newest entry.

Change: the last one in turn loses it.

--- a/src/jujubetiller/limits/_fair_admission_queue.py
+++ b/src/jujubetiller/limits/_fair_admission_queue.py
@@ -100,7 +100,8 @@
         teams = self.teams.get(bucket)
         if teams is None:
             return entry
-        longest = max(teams.values(), key=len)
+        # Of equally long ones, the last: the first one starts next.
+        longest = max(reversed(teams.values()), key=len)
         of_team = teams.get(entry.team, ())
         if entry.bucket == bucket and len(of_team) >= len(longest):
             return entry
--- a/tests/limits/test_fair_admission_queue.py
+++ b/tests/limits/test_fair_admission_queue.py
@@ -153,3 +153,17 @@
         assert queue.push(make_entry(0)) is low[15 - number]
     refused = make_entry(0)
     assert queue.push(refused) is refused
+
+
+def test_the_team_whose_turn_is_next_is_not_evicted_on_a_tie() -> None:
+    """Guards against a team that loses the calls that would have started next."""
+    queue = limits.FairAdmissionQueue(6)
+    entries = [make_entry(1, team) for team in "abcabc"]
+    for entry in entries:
+        queue.push(entry)
+    assert queue.pop(False) is entries[0]
+    newest = make_entry(1, "a")
+    assert queue.push(newest) is None
+    # It is the turn of "b", then of "c" and last of "a", with two entries each.
+    assert queue.push(make_entry(0)) is newest
+    assert queue.push(make_entry(0)) is entries[5]
