Keep reporting costs that are unknown for less than 5 s

Cause: an estimate at the bound of its error is known and unknown in turn. Each change wrote a log line, up to twice a second for each kind, and sent the costs, or none, with 64 answers.

Change: costs are reported until they were unknown for more than 5 s.

Result: 20 such changes write one line instead of 40.

--- a/src/jujubetiller/admission/_node_admission.py
+++ b/src/jujubetiller/admission/_node_admission.py
@@ -30,6 +30,10 @@
 
 COMPUTE_INTERVAL_MS = 500.0
 
+KEPT_UNKNOWN_MS = 5_000.0
+"""Costs that have become unknown are reported for this long: an estimate at the bound
+of its error is known and unknown in turn."""
+
 MAX_USEFUL_WAIT_MS = 400.0
 """The queue is kept to what the target works off in this time, by evicting the least
 important calls: callers of later ones would mostly have given up."""
@@ -48,6 +52,7 @@
     costs: tuple[tuple[str, float], ...] = ()
     reported_costs: tuple[tuple[str, float], ...] = ()
     computed_at_ms: float = -1e12
+    known_at_ms: float = -1e12
     answers: int = 0
     answers_of_change: int = 0
 
@@ -179,8 +184,12 @@
         found.answers += 1
         if self.clock.now_ms() - found.computed_at_ms >= COMPUTE_INTERVAL_MS:
             found.computed_at_ms = self.clock.now_ms()
-            costs = self.estimator.estimate(self.service, kind, self.costs) or {}
-            found.costs = tuple((name, round(ms, 2)) for name, ms in costs.items())
+            costs = self.estimator.estimate(self.service, kind, self.costs)
+            if costs is not None:
+                found.known_at_ms = found.computed_at_ms
+                found.costs = tuple((name, round(ms, 2)) for name, ms in costs.items())
+            elif found.computed_at_ms - found.known_at_ms > KEPT_UNKNOWN_MS:
+                found.costs = ()
             if has_changed(found.reported_costs, found.costs):
                 _LOG.info(
                     "costs of a kind changed",
--- a/tests/admission/test_node_admission.py
+++ b/tests/admission/test_node_admission.py
@@ -2,6 +2,7 @@
 
 import random
 
+import logbook
 import pytest
 
 from jujubetiller import admission, calls, clock, codes, limits, settings
@@ -155,6 +156,30 @@
     assert sum(bool(costs) for costs in sent[64:]) == 25
 
 
+def test_costs_that_are_unknown_now_and_then_are_kept(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a log line and 64 answers with costs for each such change."""
+    node = make_node()
+    known: dict[str, float] | None = {"booth": 10.0}
+    monkeypatch.setattr(node.estimator, "estimate", lambda *_: known)
+    with logbook.TestHandler() as handler:
+        for _ in range(20):
+            assert node.choose_costs("page") == (("booth", 10.0),)
+            known = None
+            advance(node, 500.0)
+            assert node.choose_costs("page") == (("booth", 10.0),)
+            known = {"booth": 10.0}
+            advance(node, 500.0)
+        assert len(handler.records) == 1
+        known = None
+        for _ in range(12):
+            advance(node, 500.0)
+            node.choose_costs("page")
+        assert len(handler.records) == 2
+    assert node.choose_costs("page") == ()
+
+
 def test_request_of_a_route_without_costs_is_left_to_the_throttle() -> None:
     node = make_node()
     decide = node.entry.decide
