Give the load of a target the limit before a trial

Cause: a learned limit tries three quarters of its value for some run times. The load was computed from the limit on trial and rose by a third, so entry nodes refused requests because of a comparison.

Change: policies have a steady limit, which leaves trials out; the load and the bound of the fair queue use it.

Result: at 0.9 of the limit, the load stays 0.9 during a trial instead of rising to 1.2; a limit that is lowered for good still counts.

--- a/src/jujubetiller/admission/_node_admission.py
+++ b/src/jujubetiller/admission/_node_admission.py
@@ -114,16 +114,18 @@
     def close_window(self) -> None:
         """Compute the load factor, and bound the queue by the time that it takes."""
         guard = self.guard
+        # Entry nodes would refuse requests because of a lower limit on trial.
+        limit = guard.steady_limit
         # Calls that a rate limit refuses take no slot time.
         is_rate_limited = guard.rate_limit.per_s is not None
         self.load.close_window(
-            guard.limit,
+            limit,
             guard.queue_length,
             guard.mean_run_ms,
             guard.rate_limiter.admitted_share() if is_rate_limited else math.inf,
         )
         if guard.mean_run_ms > 0.0:
-            useful = int(MAX_USEFUL_WAIT_MS * guard.limit / guard.mean_run_ms)
+            useful = int(MAX_USEFUL_WAIT_MS * limit / guard.mean_run_ms)
             guard.queue.capacity = min(
                 guard.settings.queue_length, max(useful, MIN_QUEUE_LENGTH)
             )
--- a/src/jujubetiller/limits/_learned_limit_policy.py
+++ b/src/jujubetiller/limits/_learned_limit_policy.py
@@ -112,6 +112,10 @@
         """Return the limit, from ``lowest`` to ``highest``."""
         return int(self.limit)
 
+    def steady_limit(self) -> int:
+        """Return the limit from before a trial, while there is one."""
+        return int(self.high) if self.trial else int(self.limit)
+
     def set_highest(self, highest: int) -> None:
         """Change the number of slots, which the limit never exceeds."""
         super().set_highest(highest)
@@ -125,8 +129,7 @@
 
     def record(self, sample: _latency_sample.LatencySample) -> None:
         """Adjust the limit by one sample."""
-        now_ms = sample.at_ms
-        run_ms = sample.run_ms
+        now_ms, run_ms = sample.at_ms, sample.run_ms
         if not self.has_samples:
             self.has_samples = True
             self.run_ms = run_ms
--- a/src/jujubetiller/limits/_limit_policy.py
+++ b/src/jujubetiller/limits/_limit_policy.py
@@ -17,6 +17,10 @@
     def current_limit(self) -> int:
         """Return the limit, from ``lowest`` to ``highest``."""
 
+    def steady_limit(self) -> int:
+        """Return the limit without a lower one that is only on trial."""
+        return self.current_limit()
+
     @abc.abstractmethod
     def record(self, sample: _latency_sample.LatencySample) -> None:
         """Adjust the limit by one sample, whose object the guard reuses."""
--- a/src/jujubetiller/limits/_target_guard.py
+++ b/src/jujubetiller/limits/_target_guard.py
@@ -80,6 +80,11 @@
         """Return the number of waiting entries."""
         return self.queue.length
 
+    @property
+    def steady_limit(self) -> int:
+        """Return ``limit`` without a lower one that the policy only tries."""
+        return min(self.slots, self.policy.steady_limit())
+
     def submit(self, entry: _guard_entry.GuardEntry) -> None:
         """Start, queue or refuse ``entry``."""
         now_ms = self.clock.now_ms()
--- a/tests/admission/test_node_admission.py
+++ b/tests/admission/test_node_admission.py
@@ -130,6 +130,36 @@
     assert (node.load.read() is None) is (least > 1.0)
 
 
+def test_trial_of_a_lower_limit_does_not_raise_the_load() -> None:
+    """Guards against entry nodes that refuse requests because a limit is on trial."""
+    time_source = clock.ManualClock(1_000.0)
+    guard = limits.build_guard(
+        time_source,
+        settings.LimitSettings(policy="fixed", slots=20),
+        settings.FeatureSettings(target_limit="learned"),
+    )
+    node = admission.NodeAdmission(time_source, random.Random(3), guard, "booth")
+    policy = guard.policy
+    assert isinstance(policy, limits.LearnedLimitPolicy)
+    policy.limit = 20.0
+
+    def play(windows: int) -> float:
+        for _ in range(windows):
+            time_source.advance(150.0)
+            node.load.record_offer(0.9 * 20.0 * 150.0)
+            guard.limit = min(guard.slots, policy.current_limit())
+            node.close_window()
+        return node.load.load
+
+    assert play(20) == pytest.approx(0.9, rel=0.01)
+    policy._begin_trial(2.0)
+    assert play(20) == pytest.approx(0.9, rel=0.01)
+    assert guard.limit == 15
+    # A limit that is lowered for good counts.
+    policy._end_trial(policy.low)
+    assert play(20) == pytest.approx(1.2, rel=0.01)
+
+
 def test_reports_are_handed_up_only_from_nested_calls() -> None:
     node = make_node()
     answer = make_answer(loads=(("ledger", 0.6),))
