--- a/src/jujubetiller/admission/_node_admission.py
+++ b/src/jujubetiller/admission/_node_admission.py
@@ -1,5 +1,6 @@
 """The part of one node in admission by cost."""
 
+import math
 import random
 
 import attrs
@@ -29,6 +30,10 @@
 
 COMPUTE_INTERVAL_MS = 500.0
 
+KEPT_UNKNOWN_MS = 5_000.0
+"""Costs that have become unknown are reported for this long: an estimate at the bound
+of its error is known and unknown in turn."""
+
 MAX_USEFUL_WAIT_MS = 400.0
 """The queue is kept to what the target works off in this time, by evicting the least
 important calls: callers of later ones would mostly have given up."""
@@ -47,6 +52,7 @@
     costs: tuple[tuple[str, float], ...] = ()
     reported_costs: tuple[tuple[str, float], ...] = ()
     computed_at_ms: float = -1e12
+    known_at_ms: float = -1e12
     answers: int = 0
     answers_of_change: int = 0
 
@@ -108,9 +114,18 @@
     def close_window(self) -> None:
         """Compute the load factor, and bound the queue by the time that it takes."""
         guard = self.guard
-        self.load.close_window(guard.limit, guard.queue_length, guard.mean_run_ms)
+        # Entry nodes would refuse requests because of a lower limit on trial.
+        limit = guard.steady_limit
+        # Calls that a rate limit refuses take no slot time.
+        is_rate_limited = guard.rate_limit.per_s is not None
+        self.load.close_window(
+            limit,
+            guard.queue_length,
+            guard.mean_run_ms,
+            guard.rate_limiter.admitted_share() if is_rate_limited else math.inf,
+        )
         if guard.mean_run_ms > 0.0:
-            useful = int(MAX_USEFUL_WAIT_MS * guard.limit / guard.mean_run_ms)
+            useful = int(MAX_USEFUL_WAIT_MS * limit / guard.mean_run_ms)
             guard.queue.capacity = min(
                 guard.settings.queue_length, max(useful, MIN_QUEUE_LENGTH)
             )
@@ -131,6 +146,7 @@
                 "limit": self.guard.limit,
                 "queue_length": self.guard.queue_length,
                 "run_ms": round(self.guard.mean_run_ms, 1),
+                "rate_limit_per_s": self.guard.rate_limit.per_s,
             },
         )
 
@@ -170,8 +186,12 @@
         found.answers += 1
         if self.clock.now_ms() - found.computed_at_ms >= COMPUTE_INTERVAL_MS:
             found.computed_at_ms = self.clock.now_ms()
-            costs = self.estimator.estimate(self.service, kind, self.costs) or {}
-            found.costs = tuple((name, round(ms, 2)) for name, ms in costs.items())
+            costs = self.estimator.estimate(self.service, kind, self.costs)
+            if costs is not None:
+                found.known_at_ms = found.computed_at_ms
+                found.costs = tuple((name, round(ms, 2)) for name, ms in costs.items())
+            elif found.computed_at_ms - found.known_at_ms > KEPT_UNKNOWN_MS:
+                found.costs = ()
             if has_changed(found.reported_costs, found.costs):
                 _LOG.info(
                     "costs of a kind changed",
--- a/tests/admission/test_node_admission.py
+++ b/tests/admission/test_node_admission.py
@@ -2,6 +2,7 @@
 
 import random
 
+import logbook
 import pytest
 
 from jujubetiller import admission, calls, clock, codes, limits, settings
@@ -108,6 +109,57 @@
     assert load.read() is None
 
 
+@pytest.mark.parametrize(
+    ("limit_per_s", "least", "most"),
+    [(20.0, 0.5, 0.5), (75.0, 0.85, 0.95), (1_000.0, 1.3, 1.3), (None, 1.3, 1.3)],
+)
+def test_load_factor_follows_the_rate_limit_that_a_target_names(
+    limit_per_s: float | None, least: float, most: float
+) -> None:
+    """Guards against requests admitted whose calls the rate limit refuses."""
+    node = make_node()
+    if limit_per_s is not None:
+        node.guard.rate_limit.record_named(limit_per_s)
+    for _ in range(500):
+        entry = make_entry("call", [], [])
+        node.guard.submit(entry)
+        advance(node, 1.0)
+        node.guard.finished(entry, True)
+        advance(node, 9.0)
+    assert least - 0.001 <= node.load.factor <= most + 0.001
+    assert (node.load.read() is None) is (least > 1.0)
+
+
+def test_trial_of_a_lower_limit_does_not_raise_the_load() -> None:
+    """Guards against entry nodes that refuse requests because a limit is on trial."""
+    time_source = clock.ManualClock(1_000.0)
+    guard = limits.build_guard(
+        time_source,
+        settings.LimitSettings(policy="fixed", slots=20),
+        settings.FeatureSettings(target_limit="learned"),
+    )
+    node = admission.NodeAdmission(time_source, random.Random(3), guard, "booth")
+    policy = guard.policy
+    assert isinstance(policy, limits.LearnedLimitPolicy)
+    policy.limit = 20.0
+
+    def play(windows: int) -> float:
+        for _ in range(windows):
+            time_source.advance(150.0)
+            node.load.record_offer(0.9 * 20.0 * 150.0)
+            guard.limit = min(guard.slots, policy.current_limit())
+            node.close_window()
+        return node.load.load
+
+    assert play(20) == pytest.approx(0.9, rel=0.01)
+    policy._begin_trial(2.0)
+    assert play(20) == pytest.approx(0.9, rel=0.01)
+    assert guard.limit == 15
+    # A limit that is lowered for good counts.
+    policy._end_trial(policy.low)
+    assert play(20) == pytest.approx(1.2, rel=0.01)
+
+
 def test_reports_are_handed_up_only_from_nested_calls() -> None:
     node = make_node()
     answer = make_answer(loads=(("ledger", 0.6),))
@@ -134,6 +186,30 @@
     assert sum(bool(costs) for costs in sent[64:]) == 25
 
 
+def test_costs_that_are_unknown_now_and_then_are_kept(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a log line and 64 answers with costs for each such change."""
+    node = make_node()
+    known: dict[str, float] | None = {"booth": 10.0}
+    monkeypatch.setattr(node.estimator, "estimate", lambda *_: known)
+    with logbook.TestHandler() as handler:
+        for _ in range(20):
+            assert node.choose_costs("page") == (("booth", 10.0),)
+            known = None
+            advance(node, 500.0)
+            assert node.choose_costs("page") == (("booth", 10.0),)
+            known = {"booth": 10.0}
+            advance(node, 500.0)
+        assert len(handler.records) == 1
+        known = None
+        for _ in range(12):
+            advance(node, 500.0)
+            node.choose_costs("page")
+        assert len(handler.records) == 2
+    assert node.choose_costs("page") == ()
+
+
 def test_request_of_a_route_without_costs_is_left_to_the_throttle() -> None:
     node = make_node()
     decide = node.entry.decide
@@ -178,6 +254,26 @@
     assert refused["note"] > 1_000
 
 
+@pytest.mark.parametrize("is_top_last", [True, False])
+def test_rare_teams_of_one_route_get_the_share_of_their_own_class(
+    is_top_last: bool,
+) -> None:
+    """Guards against rare teams of the top class refused as those of the last one."""
+    node = make_node()
+    refused = {0: 0, 3: 0}
+    for number in range(2_000):
+        for priority_class in sorted(refused, reverse=is_top_last):
+            answer = make_answer(costs=(("ledger", 80.0),), loads=(("ledger", 1.0),))
+            node.record_answer("page", answer, False)
+            node.entry.fractions["ledger"] = node.entry.lagged["ledger"] = 0.6
+            team = f"team-{priority_class}-{number}"
+            decision = node.entry.decide("page", priority_class, team)
+            refused[priority_class] += decision is admission.Decision.REFUSE
+        advance(node, 50.0)
+    assert refused[0] < 100
+    assert refused[3] > 1_000
+
+
 def test_offers_beyond_the_bound_are_counted(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("jujubetiller.admission._entry_admission.MAX_KEYS", 3)
     node = make_node()
@@ -185,6 +281,11 @@
         node.entry.decide("page", 1, f"team-{number}")
     assert len(node.entry.offered) == 3
     assert node.entry.over_bound == 7
+    # Teams of another class do not change the class of those that are treated as one.
+    node.entry.decide("page", 2, "team-11")
+    assert len(node.entry.offered) == 3
+    classes = [one.priority_class for one in node.entry.offered.values()]
+    assert sorted(classes) == [1, 1, 2]
 
 
 def test_queue_is_bounded_by_the_time_that_callers_wait() -> None:
