Hold back and refuse only connections that receive a request

A connection whose request ran, or whose answer was unsent, was paused as well. When it then held under 2 KB, it left the account's table, and the relief only resumes connections in that table: a keep-alive client hung until it was closed as idle. At the limit, the client of a running request got a 503 behind its answer that it took for the answer to its next request.

Connections are paused and refused only while a request is received, which blank lines do not begin, and are read again as soon as it ends or they leave the table. Both tests fail on the code before.

--- a/src/jujubetiller/edge/_connection_memory.py
+++ b/src/jujubetiller/edge/_connection_memory.py
@@ -40,6 +40,10 @@
         if self.unmarked_bytes >= MIN_PROGRESS_BYTES:
             self.unmarked_bytes = 0
             holder.record_progress()
+        if not holder.held[memory.Kind.READING]:
+            # All requests are complete: there is none to refuse, and not reading the
+            # next one would free nothing.
+            return
         if holder.held_bytes > memory.SMALL_BYTES and self.account.is_exhausted():
             self.account.refused += 1
             self.connection.refuse_for_memory()
@@ -67,6 +71,9 @@
         holder.set(memory.Kind.READING, reading)
         holder.set(memory.Kind.REQUESTS, requests)
         holder.set(memory.Kind.ANSWERS, answers)
+        if self.held_back and not reading:
+            # Relief resumes only connections that are entered in the account.
+            self.resume_reading()
 
     def is_held_back(self) -> bool:
         """Return whether it is not read because of the memory that it holds."""
--- a/src/jujubetiller/edge/_request_reader.py
+++ b/src/jujubetiller/edge/_request_reader.py
@@ -46,8 +46,17 @@
 
         self.begin_message()
 
+    def is_receiving(self) -> bool:
+        """Return whether a request has begun and is incomplete.
+
+        Blank lines before a request begin none.
+        """
+        return self.head_is_complete or self.head_started_ms is not None
+
     def count_read_bytes(self) -> int:
         """Return the memory of what was received of an incomplete request."""
+        if not self.is_receiving():
+            return 0
         count = self.framing_bytes + HEADER_COST_BYTES * len(self.headers)
         return count if self.is_too_large else count + self.body_bytes
 
--- a/tests/edge/test_memory.py
+++ b/tests/edge/test_memory.py
@@ -130,3 +130,56 @@
     reference = weakref.ref(connection.channel)
     del connection.channel, connection
     assert reference() is None
+
+
+def make_pressed_connection(
+    share: float,
+) -> tuple[recording.Listener, memory.Relief, memory.Holder, recording.Connection]:
+    """Return a connection whose request of 40 KB runs, beside another client."""
+    listener = make_listener()
+    relief = memory.Relief(listener.factory.account)  # type: ignore[attr-defined]
+    holder = fill(listener, share)
+    connection = listener.connect()
+    length = "Content-Length: 40000\r\n"
+    connection.request(headers=length, body="x" * 40_000, method="POST")
+    assert len(listener.handler.messages) == 1
+    return listener, relief, holder, connection
+
+
+@pytest.mark.parametrize("next_request", [b"", b"GET / HTTP/1.1\r\n"])
+def test_a_connection_is_read_again_after_its_request_is_answered(
+    next_request: bytes,
+) -> None:
+    """Guards against a client that waits on a connection which is never read."""
+    listener, relief, holder, connection = make_pressed_connection(0.74)
+    connection.receive(next_request)
+    paused = "paused" if next_request else "producing"
+    assert connection.transport.producerState == paused
+    listener.handler.replies[0](edge.EdgeReply(200, [], b"done"))
+    assert connection.transport.producerState == "producing"
+    holder.set(memory.Kind.READING, 0)
+    relief.check()
+    connection.receive(b"Host: x\r\n\r\n" if next_request else b"")
+    if not next_request:
+        connection.request()
+    assert len(listener.handler.messages) == 2
+
+
+@pytest.mark.parametrize("share", [0.74, 0.99])
+@pytest.mark.parametrize("stray", [b"", b"\r\n"])
+def test_a_request_that_runs_at_the_limit_gets_one_answer(
+    share: float, stray: bytes
+) -> None:
+    """Guards against an answer that the client takes for that to its next request."""
+    listener, relief, _, connection = make_pressed_connection(share)
+    connection.receive(stray)
+    fill(listener, 0.3)
+    for _ in range(6):
+        listener.factory.account.clock.advance(1_000)  # type: ignore[attr-defined]
+        relief.check()
+        connection.receive(stray)
+    listener.handler.replies[0](edge.EdgeReply(200, [], b"done"))
+    assert connection.read_output().count("HTTP/1.1 ") == 1
+    assert not connection.transport.disconnecting
+    connection.request()
+    assert len(listener.handler.messages) == 2
