Send 100 Continue behind the answers to earlier requests

A pipelined request that expects 100 Continue got it at once, in the middle of an earlier answer above 256 KB that was sent in parts, or before an earlier answer, which a client takes for its own.

It is deferred until all earlier answers are written, and is not sent once a part of the body has arrived or the connection closes. A client that waits for it is not refused as one without progress.

--- a/src/jujubetiller/edge/_connection_memory.py
+++ b/src/jujubetiller/edge/_connection_memory.py
@@ -83,7 +83,10 @@
         """Return whether the client has to send or take something."""
         if self.connection.paused_at_ms is not None:
             return False
-        return self.unsent_bytes > 0 or self.holder.held[memory.Kind.READING] > 0
+        if self.unsent_bytes > 0:
+            return True
+        is_reading = self.holder.held[memory.Kind.READING] > 0
+        return is_reading and not self.connection.continue_is_due
 
     def resume_reading(self) -> None:
         """Read a connection that is held back."""
--- a/src/jujubetiller/edge/_pipelined_connection.py
+++ b/src/jujubetiller/edge/_pipelined_connection.py
@@ -167,9 +167,16 @@
         while self.requests and self.requests[0].reply and self.sender is None:
             self.write_first()
         self.start_waiting()
+        if not self.is_starting:
+            self.send_continue()
         if self.memory is not None and not self.is_starting:
             self.memory.measure()
 
+    def is_next_to_answer(self) -> bool:
+        """Return whether all answers to complete requests are written."""
+        is_busy = self.requests or self.waiting or self.sender is not None
+        return not is_busy and not self.is_closing
+
     def write_first(self) -> None:
         """Write the answer to the oldest request."""
         exchange = self.requests.popleft()
--- a/src/jujubetiller/edge/_request_reader.py
+++ b/src/jujubetiller/edge/_request_reader.py
@@ -73,6 +73,9 @@
         self.head_bytes = 0
         """Bytes of the target and the headers."""
 
+        self.continue_is_due = False
+        """Whether the client waits for ``100 Continue``."""
+
     def on_message_begin(self) -> None:
         """Start a request and record when its head began."""
         self.begin_message()
@@ -100,7 +103,7 @@
         self.headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
-        """Send ``100 Continue`` if the client expects it before sending the body."""
+        """Note whether the client expects ``100 Continue`` before it sends the body."""
         self.head_is_complete = True
         self.head_started_ms = None
         self.framing_bytes = 0
@@ -110,7 +113,21 @@
                 expects_continue = value.lower() == "100-continue"
             elif name == "content-length" and is_large(value):
                 self.refuse_large()
-        if expects_continue and self.refusal is None:
+        self.continue_is_due = expects_continue and self.refusal is None
+        if self.continue_is_due:
+            self.send_continue()
+
+    def is_next_to_answer(self) -> bool:
+        """Return whether all earlier requests are answered."""
+        raise NotImplementedError
+
+    def send_continue(self) -> None:
+        """Send ``100 Continue`` if it is due and no earlier answer is to be sent.
+
+        It belongs to the answer to its request, behind all earlier ones.
+        """
+        if self.continue_is_due and self.is_next_to_answer():
+            self.continue_is_due = False
             assert self.transport is not None
             self.transport.write(_CONTINUE)
 
@@ -124,6 +141,7 @@
     def on_body(self, data: bytes) -> None:
         """Buffer a part of the body, up to ``max_body_bytes``."""
         self.framing_bytes = 0
+        self.continue_is_due = False
         if self.refusal is not None:
             return
         is_small = self.body_bytes <= memory.LARGE_BYTES
--- a/tests/edge/test_large_answers.py
+++ b/tests/edge/test_large_answers.py
@@ -67,3 +67,61 @@
     assert transport.disconnecting is not keep_alive
     channel.memory.measure()
     assert account.total_bytes() == 0
+
+
+EXPECT = (
+    b"POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n"
+)
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+@pytest.mark.parametrize("body_is_early", [False, True])
+@pytest.mark.parametrize("is_answered", [False, True])
+def test_100_continue_is_sent_behind_the_earlier_answers(
+    is_answered: bool, body_is_early: bool
+) -> None:
+    """Guards against an interim answer in the middle of another one."""
+    listener = recording.Listener(factory_class=edge.PipelinedFactory)
+    channel = listener.factory.buildProtocol(None)
+    transport = SlowSocket()
+    channel.makeConnection(transport)
+    channel.dataReceived(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+    body = bytes(LARGE_BYTES)
+    first = edge.EdgeReply(200, [], body)
+    if is_answered:
+        listener.handler.replies[0](first)
+    channel.dataReceived(EXPECT)
+    assert CONTINUE not in transport.taken
+    if body_is_early:
+        channel.dataReceived(b"done")
+    if not is_answered:
+        listener.handler.replies[0](first)
+    transport.take_all()
+    _, _, rest = bytes(transport.taken).partition(b"\r\n\r\n")
+    # A client that has sent the body no longer waits for it (RFC 9110, 10.1.1).
+    assert rest == body + (b"" if body_is_early else CONTINUE)
+    if not body_is_early:
+        channel.dataReceived(b"done")
+    assert listener.handler.messages[1].body == b"done"
+    listener.handler.replies[1](edge.EdgeReply(200, [], b""))
+    transport.take_all()
+    assert transport.taken.count(CONTINUE) == (not body_is_early)
+
+
+def test_100_continue_is_sent_at_once_to_the_only_request() -> None:
+    listener = recording.Listener(factory_class=edge.PipelinedFactory)
+    connection = listener.connect()
+    connection.receive(EXPECT)
+    assert connection.read_output() == CONTINUE.decode()
+
+
+def test_100_continue_is_not_sent_behind_the_last_answer_of_a_node_that_stops() -> None:
+    listener = recording.Listener(factory_class=edge.PipelinedFactory)
+    connection = listener.connect()
+    connection.request()
+    connection.receive(EXPECT)
+    listener.handler.draining = True
+    listener.handler.replies[0](edge.EdgeReply(200, [], b"last"))
+    assert connection.read_output().endswith(
+        "Connection: close\r\nContent-Length: 4\r\n\r\nlast"
+    )
