Free requests that are answered at once

When a handler answered within the call, the connection stored the function that cancels the request after the answer had cleared it. It refers to the request with its body, which was no longer counted, until all earlier requests were answered.

The function is stored only for a request that is unanswered, and the checks of an entry drop the request when they are over. Both tests fail on the code before.

--- a/src/jujubetiller/edge/_pipelined_connection.py
+++ b/src/jujubetiller/edge/_pipelined_connection.py
@@ -145,9 +145,11 @@
             detail = f"{message.field}: {message.message}"
             self.answer(exchange, handler.refuse(message.code, detail))
             return
-        exchange.cancel = handler.handle(
-            message, lambda reply: self.answer(exchange, reply)
-        )
+        cancel = handler.handle(message, lambda reply: self.answer(exchange, reply))
+        if exchange.reply is None and exchange in self.requests:
+            # A request that is answered already has nothing to cancel, and what its
+            # cancel function refers to would stay until all earlier ones are answered.
+            exchange.cancel = cancel
 
     def answer(
         self, exchange: _exchange.Exchange, reply: _edge_reply.EdgeReply
--- a/src/jujubetiller/mesh/_entry_checks.py
+++ b/src/jujubetiller/mesh/_entry_checks.py
@@ -151,7 +151,9 @@
         checks: tuple[Check, ...] = CHECKS,
     ) -> None:
         self.parts = parts
-        self.entry = entry
+        self.entry: EntryRequest | None = entry
+        """Dropped when the checks are over, since it holds the body of the request."""
+
         self.ends: tuple[Admit, Refuse] | None = (admit, refuse)
         """Dropped when the checks are over: they refer to the request, which refers to
         this object."""
@@ -163,7 +165,7 @@
 
     def advance(self) -> None:
         """Carry out the checks that are left, then admit or refuse the request."""
-        while self.position < len(self.checks):
+        while self.entry is not None and self.position < len(self.checks):
             verdict = self.checks[self.position](self.parts, self.entry)
             self.position += 1
             if isinstance(verdict, LaterVerdict):
@@ -177,7 +179,7 @@
 
     def cancel(self) -> None:
         """Cancel the request after its client has disconnected."""
-        self.ends = None
+        self.ends = self.entry = None
         self.cancel_step()
 
     def _continue(self, refusal: EntryRefusal | None) -> None:
@@ -189,10 +191,11 @@
 
     def _end(self, refusal: EntryRefusal | None) -> None:
         ends, self.ends = self.ends, None
-        if ends is None:
+        entry, self.entry = self.entry, None
+        if ends is None or entry is None:
             return
         admit, refuse = ends
         if refusal is None:
-            self.cancel_step = admit(self.entry)
+            self.cancel_step = admit(entry)
         else:
             refuse(refusal)
--- a/tests/edge/test_memory.py
+++ b/tests/edge/test_memory.py
@@ -1,6 +1,7 @@
 """Guards against clients whose requests and answers exhaust a node."""
 
 import weakref
+from collections.abc import Callable
 
 import pytest
 
@@ -201,3 +202,31 @@
     assert output.endswith("doneHTTP/1.1 100 Continue\r\n\r\n")
     connection.receive(b"x" * 9)
     assert len(listener.handler.messages) == 2
+
+
+class RefusingHandler(recording.RecordingHandler):
+    """Answers requests with a body at once, but returns what cancels them."""
+
+    def handle(
+        self,
+        message: edge.EdgeMessage,
+        reply: Callable[[edge.EdgeReply], None],
+    ) -> Callable[[], None]:
+        cancel = super().handle(message, reply)
+        if message.body:
+            reply(edge.EdgeReply(503, [], b"no"))
+        return cancel
+
+
+def test_a_request_that_is_refused_at_once_is_freed_before_earlier_ones_end() -> None:
+    """Guards against bodies that are held but not counted."""
+    listener = make_listener()
+    handler = listener.factory.handler = RefusingHandler()
+    connection = listener.connect()
+    connection.request()
+    connection.request(headers="Content-Length: 1\r\n", body="x", method="POST")
+    reference = weakref.ref(handler.messages.pop())
+    handler.replies.clear()
+    assert reference() is None
+    connection.disconnect()
+    assert handler.cancelled == ["/booth/a"]
--- a/tests/mesh/test_keys.py
+++ b/tests/mesh/test_keys.py
@@ -346,6 +346,8 @@
         later.give(refusal)
         assert len(admitted) == (refusal is None and not is_cancelled)
         assert len(refused) == (refusal is not None)
+        # What cancels a request may be kept for long after its body is not counted.
+        assert run.entry is None
 
 
 def test_an_age_that_is_not_known_is_valid_in_logs() -> None:
