Count the heads of complete requests

Heads count with 200 bytes for each header until their request is answered, while it is read, waits or runs. The fixed cost of a waiting request, which included its headers, is 500 bytes. test_what_a_connection_holds expected that the characters of a complete head are not counted; its constant now includes them.

--- a/src/jujubetiller/edge/_exchange.py
+++ b/src/jujubetiller/edge/_exchange.py
@@ -15,8 +15,8 @@
     keep_alive: bool
     """Whether the client keeps the connection for further requests."""
 
-    body_bytes: int = 0
-    """Length of the request's body."""
+    held_bytes: int = 0
+    """Memory of the request's head and body until it is answered."""
 
     reply: _edge_reply.EdgeReply | None = None
     """The answer, held until all earlier requests are answered."""
--- a/src/jujubetiller/edge/_pipelined_connection.py
+++ b/src/jujubetiller/edge/_pipelined_connection.py
@@ -59,7 +59,7 @@
         """The memory that is held; None without an account."""
 
         self.running_bytes = 0
-        """Bodies of the requests that run."""
+        """Heads and bodies of the requests that run."""
 
         self.answer_bytes = 0
         """Answers that wait for earlier ones."""
@@ -115,6 +115,8 @@
             self.parser.get_method(), self.parser.should_keep_alive()
         )
         message = self.make_message()
+        if not isinstance(message, codes.Problem):
+            exchange.held_bytes = self.count_head_bytes() + len(message.body)
         self.begin_message()
         if not exchange.keep_alive:
             self.is_closing = True
@@ -138,8 +140,7 @@
     ) -> None:
         """Pass a request to the handler, or refuse it."""
         self.requests.append(exchange)
-        exchange.body_bytes = _waiting_requests.count_body(message)
-        self.running_bytes += exchange.body_bytes
+        self.running_bytes += exchange.held_bytes
         handler = self.factory.handler
         if isinstance(message, codes.Problem):
             detail = f"{message.field}: {message.message}"
@@ -159,7 +160,7 @@
         if exchange.reply is not None or exchange not in self.requests:
             return
         exchange.reply = reply
-        self.running_bytes -= exchange.body_bytes
+        self.running_bytes -= exchange.held_bytes
         self.answer_bytes += len(reply.body)
         self.write_answers()
 
--- a/src/jujubetiller/edge/_request_reader.py
+++ b/src/jujubetiller/edge/_request_reader.py
@@ -57,9 +57,17 @@
         """Return the memory of what was received of an incomplete request."""
         if not self.is_receiving():
             return 0
-        count = self.framing_bytes + HEADER_COST_BYTES * len(self.headers)
+        if not self.head_is_complete:
+            # What was received of the head includes its headers that are complete.
+            received = max(self.framing_bytes, self.head_bytes)
+            return received + HEADER_COST_BYTES * len(self.headers)
+        count = self.count_head_bytes() + self.framing_bytes
         return count if self.is_too_large else count + self.body_bytes
 
+    def count_head_bytes(self) -> int:
+        """Return the memory of the target and the headers."""
+        return self.head_bytes + HEADER_COST_BYTES * len(self.headers)
+
     def begin_message(self) -> None:
         """Reset the state of the request that is being parsed."""
         self.url = b""
--- a/src/jujubetiller/edge/_waiting_requests.py
+++ b/src/jujubetiller/edge/_waiting_requests.py
@@ -9,8 +9,8 @@
 """Reading pauses while the requests that wait occupy more than this. Until then the
 connection is read, as nothing else shows that its client has left."""
 
-REQUEST_COST_BYTES = 1_000
-"""Approximate memory of a waiting request beside its body."""
+REQUEST_COST_BYTES = 500
+"""Approximate memory of a waiting request beside its head and body."""
 
 Message = _edge_message.EdgeMessage | codes.Problem
 """A request, or why it is refused."""
@@ -31,12 +31,12 @@
     def append(self, exchange: _exchange.Exchange, message: Message) -> None:
         """Add the latest request."""
         self.requests.append((exchange, message))
-        self.held_bytes += _find_cost_bytes(message)
+        self.held_bytes += REQUEST_COST_BYTES + exchange.held_bytes
 
     def pop(self) -> tuple[_exchange.Exchange, Message]:
         """Remove and return the oldest request."""
         exchange, message = self.requests.popleft()
-        self.held_bytes -= _find_cost_bytes(message)
+        self.held_bytes -= REQUEST_COST_BYTES + exchange.held_bytes
         return exchange, message
 
     def clear(self) -> None:
@@ -47,12 +47,3 @@
     def is_full(self) -> bool:
         """Return whether no more requests should be read."""
         return self.held_bytes > MAX_WAITING_BYTES
-
-
-def _find_cost_bytes(message: Message) -> int:
-    return REQUEST_COST_BYTES + count_body(message)
-
-
-def count_body(message: Message) -> int:
-    """Return the length of the body of a request; 0 if it is refused."""
-    return len(message.body) if isinstance(message, _edge_message.EdgeMessage) else 0
--- a/tests/edge/test_memory.py
+++ b/tests/edge/test_memory.py
@@ -14,8 +14,8 @@
 PART = b"x" * 50_000
 LENGTH = f"Content-Length: {BODY_BYTES}\r\n"
 CHUNKED = "Transfer-Encoding: chunked\r\n"
-HEADER_COSTS = 400
-"""The headers of such a request."""
+HEAD_COSTS = 2 * 200 + len("/booth/a") + len("Host: x\r\n" + LENGTH)
+"""The target and the headers of such a request."""
 
 FULL = f"Jujubetiller-Code: {codes.ResultCode.NODE_MEMORY_FULL}"
 
@@ -48,12 +48,36 @@
         connection.receive(PART)
         kind = memory.Kind.READING
         if number + 1 < BODY_BYTES // len(PART):
-            assert account.held[kind] == (number + 1) * len(PART) + HEADER_COSTS
+            assert account.held[kind] == (number + 1) * len(PART) + HEAD_COSTS
     assert account.held[memory.Kind.READING] == 0
     listener.handler.replies[0](edge.EdgeReply(200, [], b"done"))
     assert account.total_bytes() == 0 and account.holders == {}
 
 
+def test_heads_are_counted_until_their_requests_are_answered() -> None:
+    """Guards against pipelined heads whose memory is not counted."""
+    listener = make_listener()
+    account = listener.factory.account  # type: ignore[attr-defined]
+    connection = listener.connect()
+    headers = f"A: {'a' * 30_000}\r\nB: {'b' * 30_000}\r\n"
+    connection.request(headers=headers + LENGTH, method="POST")
+    assert account.held[memory.Kind.READING] > len(headers)
+    connection.receive(b"x" * BODY_BYTES)
+    assert account.held[memory.Kind.REQUESTS] > len(headers) + BODY_BYTES
+    count = 1
+    while connection.transport.producerState == "producing":
+        connection.request(headers=headers)
+        count += 1
+        held_bytes = count * len(headers) + BODY_BYTES
+        assert account.held[memory.Kind.REQUESTS] > held_bytes
+    # Two more requests than run at the same time.
+    assert count == listener.factory.pipeline_depth + 2  # type: ignore[attr-defined]
+    for number in range(count):
+        listener.handler.replies[number](edge.EdgeReply(200, [], b"done"))
+    assert account.total_bytes() == 0 and account.holders == {}
+    assert connection.transport.producerState == "producing"
+
+
 @pytest.mark.parametrize("headers", [LENGTH, CHUNKED])
 def test_a_large_request_is_refused_above_the_second_threshold(headers: str) -> None:
     listener = make_listener()
