Close no more stalled readers than the account needs

abortConnection reports the loss only in a later turn of the reactor, and so did the release of what was counted: one check of the relief aborted all readers without progress, although the first of them freed enough. Behind running requests, a refused one stayed counted within the check as well.

Both are released before the relief goes on. The new test, and the one extended by requests that run, fail on the code before.

--- a/src/jujubetiller/edge/_connection_memory.py
+++ b/src/jujubetiller/edge/_connection_memory.py
@@ -96,9 +96,18 @@
             self.connection.resume()
 
     def close_for_memory(self) -> None:
-        """Refuse the request that is read; an answer that is not taken is dropped."""
+        """Refuse the request that is read; an answer that is not taken is dropped.
+
+        The account does not count the connection afterwards, so that the relief closes
+        no more connections than it has to.
+        """
         if self.unsent_bytes:
             transport: Any = self.connection.transport
+            self.connection.memory = None
+            # The transport reports the abort only in a later turn of the reactor.
+            self.holder.release()
             transport.abortConnection()
-        else:
-            self.connection.refuse_for_memory()
+            return
+        self.connection.refuse_for_memory()
+        if self.holder.owner is not None:
+            self.measure()
--- a/tests/edge/test_large_answers.py
+++ b/tests/edge/test_large_answers.py
@@ -38,6 +38,10 @@
                 self.is_closed = True
                 return
 
+    def abortConnection(self) -> None:
+        """Record the abort, which a reactor reports in a later turn."""
+        self.is_closed = True
+
     def setTcpNoDelay(self, enabled: bool) -> None:
         """Accept the option."""
 
@@ -125,3 +129,26 @@
     assert connection.read_output().endswith(
         "Connection: close\r\nContent-Length: 4\r\n\r\nlast"
     )
+
+
+def test_no_more_readers_are_closed_than_have_to_be() -> None:
+    """Guards against aborted connections whose memory is still counted."""
+    time_source = clock.ManualClock(1_000)
+    account = memory.MemoryAccount(time_source, 5 * LARGE_BYTES)
+    listener = recording.Listener(
+        factory_class=edge.PipelinedFactory, account=account, max_connections=10
+    )
+    transports = []
+    for number in range(4):
+        channel = listener.factory.buildProtocol(None)
+        transports.append(SlowSocket())
+        channel.makeConnection(transports[-1])
+        channel.dataReceived(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+        reply = edge.EdgeReply(200, [], bytes(LARGE_BYTES))
+        listener.handler.replies[number](reply)
+        time_source.advance(1)
+    time_source.advance(60_000)
+    memory.Relief(account).check()
+    closed = [transport.is_closed for transport in transports]
+    assert closed == [True, True, False, False]
+    assert account.closed == 2
--- a/tests/edge/test_memory.py
+++ b/tests/edge/test_memory.py
@@ -122,15 +122,23 @@
     assert len(listener.handler.messages[0].body) == BODY_BYTES
 
 
-def test_a_client_that_stops_short_is_refused_and_its_memory_is_freed() -> None:
+@pytest.mark.parametrize("running", [0, 8])
+def test_a_client_that_stops_short_is_refused_and_its_memory_is_freed(
+    running: int,
+) -> None:
     listener = make_listener()
     account = listener.factory.account  # type: ignore[attr-defined]
     fill(listener, 0.5)
     connection = listener.connect()
+    for _ in range(running):
+        connection.request()
     connection.request(headers=LENGTH, method="POST")
     connection.receive(PART)
     account.clock.advance(2_100)
     memory.Relief(account).check()
+    assert account.held[memory.Kind.READING] == LIMIT_BYTES // 2
+    for reply in listener.handler.replies:
+        reply(edge.EdgeReply(200, [], b"done"))
     assert FULL in connection.read_output()
     assert account.total_bytes() == LIMIT_BYTES // 2
 
