Measure what a client takes in the system's send buffer as well

Progress of a reader was seen only when the transport's buffer shrank, which a large send buffer delays: on loopback, a client at 50 KB/s with a receive buffer set to 400,000 bytes showed none for 6.7 s, so it was aborted under pressure.

What the operating system still holds counts as not taken, and a client that takes less than 4 KB has 10 s instead of 2 s, as its system reports free space only in large steps (those 6.7 s were the same with the system's send buffer). The account does not contain that buffer, which is no memory of the process. Single bytes are no progress any more.

--- a/src/jujubetiller/edge/_connection_memory.py
+++ b/src/jujubetiller/edge/_connection_memory.py
@@ -11,7 +11,7 @@
 """A connection that holds less is not entered in the account."""
 
 MIN_PROGRESS_BYTES = 4_096
-"""A client that sends less makes no progress."""
+"""A client that sends or takes less makes no progress."""
 
 
 class ConnectionMemory(memory.HolderOwner):
@@ -27,9 +27,15 @@
         self.holder = memory.Holder(account, self)
         self.held_back = False
         self.unsent_bytes = 0
+        self.untaken_bytes = 0
+        """Unsent bytes, with those in the operating system's send buffer."""
+
         self.unmarked_bytes = 0
         """Bytes received since progress was recorded."""
 
+        self.unmarked_taken_bytes = 0
+        """Bytes that the client took since then."""
+
     def receive(self, received: int) -> None:
         """Count what was received, which may stop the reading."""
         self.measure()
@@ -60,9 +66,7 @@
         unsent = transports.count_unsent(connection.transport)
         if connection.sender is not None:
             unsent += connection.sender.unsent_bytes()
-        if unsent < self.unsent_bytes:
-            holder.record_progress()
-        self.unsent_bytes = unsent
+        self.measure_taken(unsent)
         answers = unsent + connection.answer_bytes
         if reading + requests + answers < MIN_COUNTED_BYTES:
             if not holder.held_bytes:
@@ -75,6 +79,17 @@
             # Relief resumes only connections that are entered in the account.
             self.resume_reading()
 
+    def measure_taken(self, unsent_bytes: int) -> None:
+        """Record progress if the client has taken a part of an answer."""
+        untaken = 0
+        if unsent_bytes:
+            untaken = unsent_bytes + transports.count_queued(self.connection.transport)
+        self.unmarked_taken_bytes += max(0, self.untaken_bytes - untaken)
+        if self.unmarked_taken_bytes >= MIN_PROGRESS_BYTES:
+            self.unmarked_taken_bytes = 0
+            self.holder.record_progress()
+        self.unsent_bytes, self.untaken_bytes = unsent_bytes, untaken
+
     def is_held_back(self) -> bool:
         """Return whether it is not read because of the memory that it holds."""
         return self.held_back
--- a/src/jujubetiller/memory/_stalled_holders.py
+++ b/src/jujubetiller/memory/_stalled_holders.py
@@ -5,9 +5,13 @@
 from jujubetiller.memory import _holder
 
 STALLED_MS = 2_000.0
-"""A client that sends or takes nothing for this long makes no progress. Only the
+"""A client that sends nothing for this long makes no progress. Only the
 clients of a node above its first threshold must keep to it."""
 
+UNTAKEN_MS = 10_000.0
+"""The same for a client that takes nothing of an answer. Its operating system reports
+that it takes something only once a part of its receive buffer is free."""
+
 HELD_BACK_MS = 4_000.0
 """A connection that is not read for this long is closed: its client would wait for its
 whole deadline, and its memory is needed to read others to their end."""
@@ -27,4 +31,6 @@
         return False
     if owner.is_held_back():
         return holder.progress_ms < now_ms - HELD_BACK_MS
-    return owner.waits_for_client() and holder.progress_ms < now_ms - STALLED_MS
+    is_answered = holder.held[_holder.Kind.ANSWERS] > 0
+    stalled_ms = UNTAKEN_MS if is_answered else STALLED_MS
+    return owner.waits_for_client() and holder.progress_ms < now_ms - stalled_ms
