Send no large body with an answer that has none

An answer 204 or 304 with a body above 256 KB was sent in parts with that body, which a client takes for its next answer; smaller bodies were left out already. The test fails on the code before for both statuses.

--- a/src/jujubetiller/edge/_encode_reply.py
+++ b/src/jujubetiller/edge/_encode_reply.py
@@ -20,9 +20,12 @@
 ) -> bytes:
     """Return the bytes of an answer."""
     head = encode_head(reply, persistent, head_only)
-    if head_only or reply.status in _NO_BODY_CODES:
-        return head
-    return head + reply.body
+    return head if head_only or not has_body(reply) else head + reply.body
+
+
+def has_body(reply: _edge_reply.EdgeReply) -> bool:
+    """Return whether the status of an answer allows a body."""
+    return reply.status not in _NO_BODY_CODES
 
 
 def encode_head(
@@ -35,7 +38,7 @@
     if not persistent:
         lines.append("Connection: close")
     # For an answer to HEAD without a body, the length that GET would have is unknown.
-    if reply.status not in _NO_BODY_CODES and (reply.body or not head_only):
+    if has_body(reply) and (reply.body or not head_only):
         lines.append(f"Content-Length: {len(reply.body)}")
     text = "\r\n".join(lines) + "\r\n\r\n"
     line_count = len(lines) + 1
--- a/src/jujubetiller/edge/_pipelined_connection.py
+++ b/src/jujubetiller/edge/_pipelined_connection.py
@@ -190,7 +190,8 @@
         reply = exchange.reply
         self.answer_bytes -= len(reply.body)
         is_head = exchange.method == b"HEAD"
-        if not is_head and transports.sends_in_parts(self.transport, reply.body):
+        sends_body = not is_head and _encode_reply.has_body(reply)
+        if sends_body and transports.sends_in_parts(self.transport, reply.body):
             head = _encode_reply.encode_head(reply, not is_final)
             transports.send_now(self.transport, head)
             self.sender = transports.BodyProducer(
--- a/tests/edge/test_large_answers.py
+++ b/tests/edge/test_large_answers.py
@@ -225,3 +225,22 @@
         time_source.advance(4_000)
     relief.check()
     assert transport.is_closed is is_closed
+
+
+@pytest.mark.parametrize(
+    ("method", "status"), [(b"GET", 204), (b"GET", 304), (b"HEAD", 200)]
+)
+def test_a_large_body_is_not_sent_with_an_answer_that_has_none(
+    method: bytes, status: int
+) -> None:
+    """Guards against a body that the client takes for its next answer."""
+    listener = recording.Listener(factory_class=edge.PipelinedFactory)
+    channel = listener.factory.buildProtocol(None)
+    transport = SlowSocket()
+    channel.makeConnection(transport)
+    channel.dataReceived(method + b" /a HTTP/1.1\r\nHost: x\r\n\r\n")
+    listener.handler.replies[0](edge.EdgeReply(status, [], bytes(LARGE_BYTES)))
+    transport.take_all()
+    assert transport.taken.startswith(b"HTTP/1.1 %d " % status)
+    assert transport.taken.endswith(b"\r\n\r\n")
+    assert channel.sender is None and channel.answer_bytes == 0
