Ignore interim responses of a target that are not known

104 and other statuses from 100 to 199 ended the call as invalid. A client may ignore an interim response that it did not expect (RFC 9110, 15.2), and the final one follows. 101 stays invalid, as nothing asks for an upgrade; so do interim responses with a length, and more than 32 of them. The new cases of the test fail on the code before.

--- a/src/jujubetiller/target/_target_connection.py
+++ b/src/jujubetiller/target/_target_connection.py
@@ -29,7 +29,10 @@
 
 LOWEST_FINAL_STATUS = 200
 
-INTERIM_STATUSES = frozenset((100, 102, 103))
+SWITCHING_PROTOCOLS = 101
+
+INTERIM_STATUSES = frozenset(range(100, 200)) - {SWITCHING_PROTOCOLS}
+"""Also those that are not known: a client may ignore them (RFC 9110, 15.2)."""
 
 MAX_INTERIM = 32
 """Interim responses before the final one. Targets send one or two, and a progress
--- a/tests/target/test_invalid_answers.py
+++ b/tests/target/test_invalid_answers.py
@@ -60,7 +60,8 @@
 
 @pytest.mark.parametrize("segment_size", [1, 10_000])
 @pytest.mark.parametrize(
-    "interim", [(), (100,), (102,), (103,), (100, 102, 103), (102,) * 10]
+    "interim",
+    [(), (100,), (102,), (103,), (104,), (199,), (100, 102, 103, 150), (102,) * 10],
 )
 def test_interim_answers_before_a_final_one_stay_valid(
     interim: tuple[int, ...], segment_size: int
