--- a/src/jujubetiller/edge/_pipelined_connection.py
+++ b/src/jujubetiller/edge/_pipelined_connection.py
@@ -13,6 +13,7 @@
     _edge_reply,
     _encode_reply,
     _exchange,
+    _linger,
     _request_reader,
     _waiting_requests,
 )
@@ -25,13 +26,6 @@
 }
 
 
-LINGER_MS = 1_000.0
-"""Time for a refused client to take the answer while it still sends."""
-
-MAX_LINGERING = 64
-"""Connections that linger at the same time; others are closed at once."""
-
-
 class PipelinedConnection(_request_reader.RequestReader):
     """Handles up to ``pipeline_depth`` requests of an HTTP/1.1 connection concurrently.
 
@@ -204,34 +198,9 @@
             transports.send_now(self.transport, data)
         if is_final:
             self.is_closing = True
-            if not self.linger():
+            if not _linger.linger(self):
                 self.transport.loseConnection()
 
-    def linger(self) -> bool:
-        """Discard the rest of a body that is refused for lack of memory, for a while.
-
-        The operating system drops an answer that is not taken yet when a connection
-        with unread bytes is closed. Returns whether the connection stays open.
-        """
-        factory, transport = self.factory, self.transport
-        half_close = getattr(transport, "loseWriteConnection", None)
-        if self.refusal is not codes.ResultCode.NODE_MEMORY_FULL or half_close is None:
-            return False
-        if factory.lingering >= MAX_LINGERING or self.is_lingering:
-            return self.is_lingering
-        self.is_lingering = True
-        factory.lingering += 1
-        half_close()
-        transport.resumeProducing()  # type: ignore[union-attr]
-        factory.reactor.callLater(LINGER_MS / 1000.0, self.end_linger)
-        return True
-
-    def end_linger(self) -> None:
-        """Close the connection of a refused request."""
-        self.factory.lingering -= 1
-        if self.transport is not None:
-            self.transport.abortConnection()  # type: ignore[attr-defined]
-
     def start_waiting(self) -> None:
         """Start waiting requests, and resume reading once few are left."""
         if self.is_starting:
