--- a/src/jujubetiller/edge/_connection_memory.py
+++ b/src/jujubetiller/edge/_connection_memory.py
@@ -27,9 +27,6 @@
         self.holder = memory.Holder(account, self)
         self.held_back = False
         self.unsent_bytes = 0
-        self.untaken_bytes = 0
-        """Unsent bytes, with those in the operating system's send buffer."""
-
         self.unmarked_bytes = 0
         """Bytes received since progress was recorded."""
 
@@ -81,14 +78,11 @@
 
     def measure_taken(self, unsent_bytes: int) -> None:
         """Record progress if the client has taken a part of an answer."""
-        untaken = 0
-        if unsent_bytes:
-            untaken = unsent_bytes + transports.count_queued(self.connection.transport)
-        self.unmarked_taken_bytes += max(0, self.untaken_bytes - untaken)
+        self.unmarked_taken_bytes += max(0, self.unsent_bytes - unsent_bytes)
         if self.unmarked_taken_bytes >= MIN_PROGRESS_BYTES:
             self.unmarked_taken_bytes = 0
             self.holder.record_progress()
-        self.unsent_bytes, self.untaken_bytes = unsent_bytes, untaken
+        self.unsent_bytes = unsent_bytes
 
     def is_held_back(self) -> bool:
         """Return whether it is not read because of the memory that it holds."""
--- a/src/jujubetiller/memory/_stalled_holders.py
+++ b/src/jujubetiller/memory/_stalled_holders.py
@@ -10,7 +10,8 @@
 
 UNTAKEN_MS = 10_000.0
 """The same for a client that takes nothing of an answer. Its operating system reports
-that it takes something only once a part of its receive buffer is free."""
+free space only in large steps: on loopback, a reader at 50 KB/s took nothing for 2.3 s
+with the default receive buffer, and for 7 s with one set to 400,000 bytes."""
 
 HELD_BACK_MS = 4_000.0
 """A connection that is not read for this long is closed: its client would wait for its
--- a/src/jujubetiller/transports/_body_producer.py
+++ b/src/jujubetiller/transports/_body_producer.py
@@ -1,9 +1,5 @@
 """Sending of large bodies in parts."""
 
-import array
-import contextlib
-import fcntl
-import termios
 from collections.abc import Callable
 from typing import Any
 
@@ -72,17 +68,5 @@
     return len(transport.dataBuffer) - transport.offset + transport._tempDataLen
 
 
-def count_queued(transport: Any) -> int:
-    """Return the bytes in the operating system's send buffer; 0 if it doesn't tell.
-
-    It takes more from the transport only once a large part of the buffer is free, so
-    the unsent bytes alone show no progress of a slow client for a long time.
-    """
-    queued = array.array("i", [0])
-    with contextlib.suppress(AttributeError, OSError, ValueError):
-        fcntl.ioctl(transport.fileno(), termios.TIOCOUTQ, queued)
-    return queued[0]
-
-
 def _do_nothing() -> None:
     """Replace an ``on_end`` that was called."""
--- a/tests/edge/test_large_answers.py
+++ b/tests/edge/test_large_answers.py
@@ -1,6 +1,5 @@
 """Guards against large answers that are mixed up or stay counted."""
 
-import socket
 from typing import Any
 
 import pytest
@@ -155,52 +154,27 @@
     assert account.closed == 2
 
 
-class KernelSocket(SlowSocket):
-    """A socket of the operating system, whose send buffer holds much."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.ours, self.theirs = socket.socketpair()
-        self.ours.setblocking(False)
-        self.is_full = False
-
-    def writeSomeData(self, data: bytes) -> int:
-        try:
-            return self.ours.send(data)
-        except BlockingIOError:
-            self.is_full = True
-            return 0
-
-    def fileno(self) -> int:
-        return self.ours.fileno()
-
-
-@pytest.mark.parametrize("takes", [True, False])
-def test_a_slow_reader_is_not_closed_while_it_takes_something(takes: bool) -> None:
-    """Guards against progress that is not seen, as the send buffer holds much."""
+def test_a_slow_reader_has_longer_than_one_that_sends_nothing() -> None:
+    """Guards against slow readers that are closed between two steps of their system."""
     time_source = clock.ManualClock(1_000)
     account = memory.MemoryAccount(time_source, LARGE_BYTES)
     listener = recording.Listener(factory_class=edge.PipelinedFactory, account=account)
     channel = listener.factory.buildProtocol(None)
-    transport = KernelSocket()
-    try:
-        channel.makeConnection(transport)
-        channel.dataReceived(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
-        listener.handler.replies[0](edge.EdgeReply(200, [], bytes(LARGE_BYTES)))
-        while not transport.is_full:
-            transport.doWrite()
-        relief = memory.Relief(account)
-        for _ in range(3):
-            relief.check()
-            assert not transport.is_closed
-            if takes:
-                assert transport.theirs.recv(50_000)
-            time_source.advance(4_000)
+    transport = SlowSocket()
+    channel.makeConnection(transport)
+    channel.dataReceived(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+    listener.handler.replies[0](edge.EdgeReply(200, [], bytes(LARGE_BYTES)))
+    relief = memory.Relief(account)
+    for _ in range(3):
         relief.check()
-        assert transport.is_closed is not takes
-    finally:
-        transport.ours.close()
-        transport.theirs.close()
+        transport.doWrite()
+        relief.check()
+        time_source.advance(9_900)
+        relief.check()
+        assert not transport.is_closed
+    time_source.advance(200)
+    relief.check()
+    assert transport.is_closed
 
 
 @pytest.mark.parametrize(("taken_bytes", "is_closed"), [(1_000, True), (5_000, False)])
