--- a/src/jujubetiller/edge/_connection_memory.py
+++ b/src/jujubetiller/edge/_connection_memory.py
@@ -11,7 +11,7 @@
 """A connection that holds less is not entered in the account."""
 
 MIN_PROGRESS_BYTES = 4_096
-"""A client that sends less makes no progress."""
+"""A client that sends or takes less makes no progress."""
 
 
 class ConnectionMemory(memory.HolderOwner):
@@ -30,6 +30,9 @@
         self.unmarked_bytes = 0
         """Bytes received since progress was recorded."""
 
+        self.unmarked_taken_bytes = 0
+        """Bytes that the client took since then."""
+
     def receive(self, received: int) -> None:
         """Count what was received, which may stop the reading."""
         self.measure()
@@ -40,6 +43,10 @@
         if self.unmarked_bytes >= MIN_PROGRESS_BYTES:
             self.unmarked_bytes = 0
             holder.record_progress()
+        if not holder.held[memory.Kind.READING]:
+            # All requests are complete: there is none to refuse, and not reading the
+            # next one would free nothing.
+            return
         if holder.held_bytes > memory.SMALL_BYTES and self.account.is_exhausted():
             self.account.refused += 1
             self.connection.refuse_for_memory()
@@ -56,9 +63,7 @@
         unsent = transports.count_unsent(connection.transport)
         if connection.sender is not None:
             unsent += connection.sender.unsent_bytes()
-        if unsent < self.unsent_bytes:
-            holder.record_progress()
-        self.unsent_bytes = unsent
+        self.measure_taken(unsent)
         answers = unsent + connection.answer_bytes
         if reading + requests + answers < MIN_COUNTED_BYTES:
             if not holder.held_bytes:
@@ -67,6 +72,17 @@
         holder.set(memory.Kind.READING, reading)
         holder.set(memory.Kind.REQUESTS, requests)
         holder.set(memory.Kind.ANSWERS, answers)
+        if self.held_back and not reading:
+            # Relief resumes only connections that are entered in the account.
+            self.resume_reading()
+
+    def measure_taken(self, unsent_bytes: int) -> None:
+        """Record progress if the client has taken a part of an answer."""
+        self.unmarked_taken_bytes += max(0, self.unsent_bytes - unsent_bytes)
+        if self.unmarked_taken_bytes >= MIN_PROGRESS_BYTES:
+            self.unmarked_taken_bytes = 0
+            self.holder.record_progress()
+        self.unsent_bytes = unsent_bytes
 
     def is_held_back(self) -> bool:
         """Return whether it is not read because of the memory that it holds."""
@@ -76,7 +92,10 @@
         """Return whether the client has to send or take something."""
         if self.connection.paused_at_ms is not None:
             return False
-        return self.unsent_bytes > 0 or self.holder.held[memory.Kind.READING] > 0
+        if self.unsent_bytes > 0:
+            return True
+        is_reading = self.holder.held[memory.Kind.READING] > 0
+        return is_reading and not self.connection.continue_is_due
 
     def resume_reading(self) -> None:
         """Read a connection that is held back."""
@@ -86,9 +105,18 @@
             self.connection.resume()
 
     def close_for_memory(self) -> None:
-        """Refuse the request that is read; an answer that is not taken is dropped."""
+        """Refuse the request that is read; an answer that is not taken is dropped.
+
+        The account does not count the connection afterwards, so that the relief closes
+        no more connections than it has to.
+        """
         if self.unsent_bytes:
             transport: Any = self.connection.transport
+            self.connection.memory = None
+            # The transport reports the abort only in a later turn of the reactor.
+            self.holder.release()
             transport.abortConnection()
-        else:
-            self.connection.refuse_for_memory()
+            return
+        self.connection.refuse_for_memory()
+        if self.holder.owner is not None:
+            self.measure()
--- a/src/jujubetiller/edge/_pipelined_connection.py
+++ b/src/jujubetiller/edge/_pipelined_connection.py
@@ -13,6 +13,7 @@
     _edge_reply,
     _encode_reply,
     _exchange,
+    _linger,
     _request_reader,
     _waiting_requests,
 )
@@ -25,13 +26,6 @@
 }
 
 
-LINGER_MS = 1_000.0
-"""Time for a refused client to take the answer while it still sends."""
-
-MAX_LINGERING = 64
-"""Connections that linger at the same time; others are closed at once."""
-
-
 class PipelinedConnection(_request_reader.RequestReader):
     """Handles up to ``pipeline_depth`` requests of an HTTP/1.1 connection concurrently.
 
@@ -59,7 +53,7 @@
         """The memory that is held; None without an account."""
 
         self.running_bytes = 0
-        """Bodies of the requests that run."""
+        """Heads and bodies of the requests that run."""
 
         self.answer_bytes = 0
         """Answers that wait for earlier ones."""
@@ -115,6 +109,8 @@
             self.parser.get_method(), self.parser.should_keep_alive()
         )
         message = self.make_message()
+        if not isinstance(message, codes.Problem):
+            exchange.held_bytes = self.count_head_bytes() + len(message.body)
         self.begin_message()
         if not exchange.keep_alive:
             self.is_closing = True
@@ -138,16 +134,17 @@
     ) -> None:
         """Pass a request to the handler, or refuse it."""
         self.requests.append(exchange)
-        exchange.body_bytes = _waiting_requests.count_body(message)
-        self.running_bytes += exchange.body_bytes
+        self.running_bytes += exchange.held_bytes
         handler = self.factory.handler
         if isinstance(message, codes.Problem):
             detail = f"{message.field}: {message.message}"
             self.answer(exchange, handler.refuse(message.code, detail))
             return
-        exchange.cancel = handler.handle(
-            message, lambda reply: self.answer(exchange, reply)
-        )
+        cancel = handler.handle(message, lambda reply: self.answer(exchange, reply))
+        if exchange.reply is None and exchange in self.requests:
+            # A request that is answered already has nothing to cancel, and what its
+            # cancel function refers to would stay until all earlier ones are answered.
+            exchange.cancel = cancel
 
     def answer(
         self, exchange: _exchange.Exchange, reply: _edge_reply.EdgeReply
@@ -157,7 +154,7 @@
         if exchange.reply is not None or exchange not in self.requests:
             return
         exchange.reply = reply
-        self.running_bytes -= exchange.body_bytes
+        self.running_bytes -= exchange.held_bytes
         self.answer_bytes += len(reply.body)
         self.write_answers()
 
@@ -167,9 +164,16 @@
         while self.requests and self.requests[0].reply and self.sender is None:
             self.write_first()
         self.start_waiting()
+        if not self.is_starting:
+            self.send_continue()
         if self.memory is not None and not self.is_starting:
             self.memory.measure()
 
+    def is_next_to_answer(self) -> bool:
+        """Return whether all answers to complete requests are written."""
+        is_busy = self.requests or self.waiting or self.sender is not None
+        return not is_busy and not self.is_closing
+
     def write_first(self) -> None:
         """Write the answer to the oldest request."""
         exchange = self.requests.popleft()
@@ -180,7 +184,8 @@
         reply = exchange.reply
         self.answer_bytes -= len(reply.body)
         is_head = exchange.method == b"HEAD"
-        if not is_head and transports.sends_in_parts(self.transport, reply.body):
+        sends_body = not is_head and _encode_reply.has_body(reply)
+        if sends_body and transports.sends_in_parts(self.transport, reply.body):
             head = _encode_reply.encode_head(reply, not is_final)
             transports.send_now(self.transport, head)
             self.sender = transports.BodyProducer(
@@ -193,34 +198,9 @@
             transports.send_now(self.transport, data)
         if is_final:
             self.is_closing = True
-            if not self.linger():
+            if not _linger.linger(self):
                 self.transport.loseConnection()
 
-    def linger(self) -> bool:
-        """Discard the rest of a body that is refused for lack of memory, for a while.
-
-        The operating system drops an answer that is not taken yet when a connection
-        with unread bytes is closed. Returns whether the connection stays open.
-        """
-        factory, transport = self.factory, self.transport
-        half_close = getattr(transport, "loseWriteConnection", None)
-        if self.refusal is not codes.ResultCode.NODE_MEMORY_FULL or half_close is None:
-            return False
-        if factory.lingering >= MAX_LINGERING or self.is_lingering:
-            return self.is_lingering
-        self.is_lingering = True
-        factory.lingering += 1
-        half_close()
-        transport.resumeProducing()  # type: ignore[union-attr]
-        factory.reactor.callLater(LINGER_MS / 1000.0, self.end_linger)
-        return True
-
-    def end_linger(self) -> None:
-        """Close the connection of a refused request."""
-        self.factory.lingering -= 1
-        if self.transport is not None:
-            self.transport.abortConnection()  # type: ignore[attr-defined]
-
     def start_waiting(self) -> None:
         """Start waiting requests, and resume reading once few are left."""
         if self.is_starting:
--- a/src/jujubetiller/edge/_request_reader.py
+++ b/src/jujubetiller/edge/_request_reader.py
@@ -46,11 +46,28 @@
 
         self.begin_message()
 
+    def is_receiving(self) -> bool:
+        """Return whether a request has begun and is incomplete.
+
+        Blank lines before a request begin none.
+        """
+        return self.head_is_complete or self.head_started_ms is not None
+
     def count_read_bytes(self) -> int:
         """Return the memory of what was received of an incomplete request."""
-        count = self.framing_bytes + HEADER_COST_BYTES * len(self.headers)
+        if not self.is_receiving():
+            return 0
+        if not self.head_is_complete:
+            # What was received of the head includes its headers that are complete.
+            received = max(self.framing_bytes, self.head_bytes)
+            return received + HEADER_COST_BYTES * len(self.headers)
+        count = self.count_head_bytes() + self.framing_bytes
         return count if self.is_too_large else count + self.body_bytes
 
+    def count_head_bytes(self) -> int:
+        """Return the memory of the target and the headers."""
+        return self.head_bytes + HEADER_COST_BYTES * len(self.headers)
+
     def begin_message(self) -> None:
         """Reset the state of the request that is being parsed."""
         self.url = b""
@@ -64,6 +81,9 @@
         self.head_bytes = 0
         """Bytes of the target and the headers."""
 
+        self.continue_is_due = False
+        """Whether the client waits for ``100 Continue``."""
+
     def on_message_begin(self) -> None:
         """Start a request and record when its head began."""
         self.begin_message()
@@ -91,7 +111,7 @@
         self.headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
-        """Send ``100 Continue`` if the client expects it before sending the body."""
+        """Note whether the client expects ``100 Continue`` before it sends the body."""
         self.head_is_complete = True
         self.head_started_ms = None
         self.framing_bytes = 0
@@ -101,7 +121,21 @@
                 expects_continue = value.lower() == "100-continue"
             elif name == "content-length" and is_large(value):
                 self.refuse_large()
-        if expects_continue and self.refusal is None:
+        self.continue_is_due = expects_continue and self.refusal is None
+        if self.continue_is_due:
+            self.send_continue()
+
+    def is_next_to_answer(self) -> bool:
+        """Return whether all earlier requests are answered."""
+        raise NotImplementedError
+
+    def send_continue(self) -> None:
+        """Send ``100 Continue`` if it is due and no earlier answer is to be sent.
+
+        It belongs to the answer to its request, behind all earlier ones.
+        """
+        if self.continue_is_due and self.is_next_to_answer():
+            self.continue_is_due = False
             assert self.transport is not None
             self.transport.write(_CONTINUE)
 
@@ -115,6 +149,7 @@
     def on_body(self, data: bytes) -> None:
         """Buffer a part of the body, up to ``max_body_bytes``."""
         self.framing_bytes = 0
+        self.continue_is_due = False
         if self.refusal is not None:
             return
         is_small = self.body_bytes <= memory.LARGE_BYTES
