Take weight from an instance that leaves attempts overdue

An instance that stopped answering kept its weight for 5 s, because only answers with a report changed it, and was taken without a comparison once its report was 900 ms old. Each overdue attempt since the last report now leaves a quarter of the weight, and an old report is compared if calls were sent since, with the time without an answer as expected wait.

--- a/src/jujubetiller/routing/_load_report.py
+++ b/src/jujubetiller/routing/_load_report.py
@@ -17,6 +17,14 @@
 RECENT_MS = 300.0
 """Time constant of the speed at present, for slow-downs of about 600 ms."""
 
+OVERDUE_DECAY_MS = 5_000.0
+"""Time constant with which overdue attempts lose their effect, as failures do."""
+
+_OVERDUE_SHARE = 0.25
+_MOST_OVERDUE = 4
+"""Each overdue attempt since the last report leaves a quarter of the weight. A single
+one may be a call with seven times the usual work, and the next report clears it."""
+
 _LASTING_WEIGHT = 0.05
 _RECENT_WEIGHT = 0.3
 _ROOM_WEIGHT = 0.1
@@ -41,6 +49,14 @@
     sent_since: int = 0
     """Calls that this node sent to the instance since then."""
 
+    silent_since_ms: float = math.inf
+    """When the first of these calls was sent; infinite if there is none."""
+
+    overdue: int = 0
+    """Attempts given up as overdue since the last report."""
+
+    overdue_at_ms: float = 0.0
+
     is_new: bool = False
     """Whether the report belongs to the answer that is being recorded."""
 
@@ -65,7 +81,8 @@
         self.room = room
         self.wait_ms = wait_ms
         self.at_ms = now_ms
-        self.sent_since = 0
+        self.sent_since = self.overdue = 0
+        self.silent_since_ms = math.inf
         self.is_new = True
         if room > self.highest_room:
             self.highest_room = room
@@ -74,6 +91,25 @@
         weight = 1.0 if is_first else _ROOM_WEIGHT
         self.mean_room_share += weight * (share - self.mean_room_share)
 
+    def record_sent(self, now_ms: float) -> None:
+        """Count a call that was sent to the instance."""
+        if not self.sent_since:
+            self.silent_since_ms = now_ms
+        self.sent_since += 1
+
+    def record_overdue(self, now_ms: float) -> None:
+        """Count an attempt that was given up without an answer."""
+        self.overdue += 1
+        self.overdue_at_ms = now_ms
+
+    def overdue_weight(self, now_ms: float) -> float:
+        """Return the factor of the weight for overdue attempts, 1 without any."""
+        if not self.overdue:
+            return 1.0
+        fade = math.exp((self.overdue_at_ms - now_ms) / OVERDUE_DECAY_MS)
+        exponent = min(self.overdue, _MOST_OVERDUE) * fade
+        return float(_OVERDUE_SHARE**exponent)
+
     def record_ratio(self, ratio: float, now_ms: float) -> None:
         """Add the run time of a call relative to the average of its kind."""
         ratio = min(ratio, MAX_RATIO)
@@ -112,4 +148,8 @@
         wait_ms = self.wait_ms
         if lack > 0:
             wait_ms += lack * run_ms / (slots or self.highest_room)
-        return run_ms + fade * wait_ms + (1.0 - fade) * average_wait_ms
+        expected_ms = run_ms + fade * wait_ms + (1.0 - fade) * average_wait_ms
+        if now_ms - self.at_ms > YOUNG_MS:
+            # Nothing was answered since, so another call may wait as long.
+            expected_ms += max(0.0, now_ms - self.silent_since_ms)
+        return expected_ms
--- a/src/jujubetiller/routing/_room_weighted_pool.py
+++ b/src/jujubetiller/routing/_room_weighted_pool.py
@@ -69,9 +69,10 @@
     """Draws instances by learned throughput and avoids those that lack room.
 
     The first instance drawn is taken if by its report it has room, or if that report
-    is too old to tell. Otherwise a second one is drawn, and the one with the smaller
-    expected completion is taken. Drawing by throughput before comparing keeps many
-    callers that know the same report from choosing the same instance.
+    is too old to tell and no call was sent since. Otherwise a second one is drawn, and
+    the one with the smaller expected completion is taken. Drawing by throughput before
+    comparing keeps many callers that know the same report from choosing the same
+    instance.
     """
 
     def __init__(
@@ -169,9 +170,13 @@
         draw = self.random_source.random
         first = choices.draw(draw())
         load = first.load
-        if now_ms - load.at_ms > _load_report.YOUNG_MS:
+        age_ms = now_ms - load.at_ms
+        if age_ms >= REPORTING_MS:
             return first
-        if (
+        if age_ms > _load_report.YOUNG_MS:
+            if not load.sent_since:
+                return first
+        elif (
             load.room > load.sent_since
             and load.recent_ratio < _SLOWED_RATIO * load.run_ratio
         ):
@@ -234,9 +239,10 @@
         """Return the learned throughput, 1 for an average instance."""
         load = stats.load
         if now_ms - load.at_ms >= REPORTING_MS:
-            return self.weight_in_own_zone(stats, now_ms)
+            weight = self.weight_in_own_zone(stats, now_ms)
+            return weight * load.overdue_weight(now_ms)
         weight = math.exp(_ROOM_GAIN * (load.mean_room_share - mean_room))
-        weight /= load.read_run_ratio(now_ms)
+        weight *= load.overdue_weight(now_ms) / load.read_run_ratio(now_ms)
         if mean_slots and stats.instance.slots:
             weight *= stats.instance.slots / mean_slots
         if stats.failure_rate > 0.001:
--- a/src/jujubetiller/routing/_room_weighted_router.py
+++ b/src/jujubetiller/routing/_room_weighted_router.py
@@ -23,7 +23,7 @@
         if stats is not None:
             stats.outstanding += 1
             stats.sent += 1
-            stats.load.sent_since += 1
+            stats.load.record_sent(self.time_source.now_ms())
 
     def record_answer(
         self,
@@ -34,6 +34,8 @@
     ) -> None:
         """Record the answer to an outstanding call and the report inside it."""
         stats = self._find(instance)
+        if stats is not None and answer.code is _Code.ANSWER_OVERDUE:
+            stats.load.record_overdue(self.time_source.now_ms())
         if answer.room is None or stats is None:
             super().record_answer(instance, answer, took_ms, kind)
             return
--- a/tests/routing/test_room_weighted_pool.py
+++ b/tests/routing/test_room_weighted_pool.py
@@ -2,12 +2,14 @@
 
 import collections
 import math
+import random
 
 import attrs
 import pytest
 
 from jujubetiller import calls, clock, codes, routing
 from jujubetiller.routing import _zone_room
+from tests import load_model
 from tests.routing import test_router
 
 FULL = calls.make_refusal(codes.ResultCode.QUEUE_FULL)
@@ -168,3 +170,55 @@
         share.update("ledger", room(0.4), room(0.6), number * 50.0)
     assert not share.is_sending
     assert not any(share.takes_call() for _ in range(100))
+
+
+def share_of_hanging(router_class: type[routing.Router]) -> tuple[float, float]:
+    """Return the shares of an instance that hangs from 2 to 6 s, and later.
+
+    Attempts are overdue after 150 ms. The first share counts calls from 2 to 6 s, the
+    second one calls from 14 to 16 s.
+    """
+    events = load_model.Events(7)
+    names = [f"a-{number}" for number in range(5)]
+    sent: collections.Counter[tuple[bool, int]] = collections.Counter()
+    for number in range(8):
+        router = router_class(
+            events.clock, random.Random(number), test_router.SETTINGS, "a"
+        )
+        router.update_instances(test_router.make_instance(name) for name in names)
+
+        def begin(code: codes.ResultCode, router: routing.Router = router) -> None:
+            now_ms = events.clock.now_ms()
+            instance = router.choose("ledger").unwrap()
+            router.record_sent(instance)
+            sent[instance.instance == "a-0", int(now_ms // 2_000.0)] += 1
+            is_hanging = instance.instance == "a-0" and 2e3 <= now_ms < 6e3
+            answer = attrs.evolve(test_router.ANSWERED, room=4, wait_ms=0.0)
+            if is_hanging:
+                answer = calls.make_refusal(codes.ResultCode.ANSWER_OVERDUE)
+            took_ms = 150.0 if is_hanging else events.random.uniform(10.0, 30.0)
+            events.after(
+                took_ms,
+                lambda: router.record_answer(instance, answer, took_ms, "tally"),
+            )
+
+        events.arrive(lambda now_ms: 30.0, begin)
+    events.run(16_000.0)
+    shares = []
+    for periods in ((1, 2), (7,)):
+        counts = [sum(sent[each, p] for p in periods) for each in (True, False)]
+        shares.append(counts[0] / sum(counts))
+    print(router_class.__name__, shares)  # Shown with ``pytest -s``.
+    return shares[0], shares[1]
+
+
+def test_an_instance_that_hangs_gets_as_few_calls_as_by_latency() -> None:
+    """Guards against the full weight of an instance that stops answering.
+
+    Its weight did not change for 5 s after its last report, and a report older than
+    900 ms was not compared with others: the instance got 0.145 of the calls.
+    """
+    by_latency, _ = share_of_hanging(routing.LatencyWeightedRouter)
+    by_room, by_room_later = share_of_hanging(routing.RoomWeightedRouter)
+    assert by_room < by_latency + 0.02
+    assert by_room_later > 0.1
