Send nearly all calls elsewhere while the own zone's targets fail

With all targets of the own zone dead and their nodes alive, the bound of 0.8 kept 0.20 of the first attempts there, more than the budget of retries covers. The bound is 0.98 while most calls in the own zone fail, by an average that does not fade with time, since few calls are sent there.

--- a/src/jujubetiller/routing/_other_zone_share.py
+++ b/src/jujubetiller/routing/_other_zone_share.py
@@ -30,6 +30,17 @@
 HIGHEST_SHARE = 0.8
 """The rest keeps the reports of the own zone young."""
 
+HIGHEST_FAILING_SHARE = 0.98
+"""Bound while the own zone fails most calls: the rest notices when it answers again."""
+
+_FAILED_WEIGHT = 0.1
+_ANSWERED_WEIGHT = 0.25
+_FAILING_RATE = 0.5
+"""The zone counts as failing from this average on, which 71% of failed calls reach. It
+does not fade with time, as few calls are sent there; three answers end it."""
+
+_FAILING_RISE_PER_S = 1.0
+
 HIGHEST_UNKNOWN_SHARE = 0.1
 """Bound while no report of another zone is young: the first calls bring reports."""
 
@@ -50,10 +61,22 @@
         self.due = 0.0
         """Sum of the shares of calls since the last one that went to another zone."""
 
+        self.own_failure_rate = 0.0
+        """Moving average over calls in the own zone; answers weigh more."""
+
         self.updated_at_ms = 0.0
         self.is_sending = False
         self.starts = 0
 
+    def record_own(self, failed: bool) -> None:
+        """Count the end of a call in the own zone."""
+        weight = _FAILED_WEIGHT if failed else _ANSWERED_WEIGHT
+        self.own_failure_rate += weight * (failed - self.own_failure_rate)
+
+    def is_failing(self) -> bool:
+        """Return whether most calls in the own zone fail."""
+        return self.own_failure_rate > _FAILING_RATE
+
     def update(
         self,
         service: str,
@@ -65,7 +88,8 @@
         elapsed_s = min(now_ms - self.updated_at_ms, _MAX_STEP_MS) / 1_000.0
         self.updated_at_ms = now_ms
         step = elapsed_s * self._rate_per_s(own, others)
-        share = min(HIGHEST_SHARE, self.share + step)
+        highest = HIGHEST_FAILING_SHARE if self.is_failing() else HIGHEST_SHARE
+        share = min(highest, self.share + step)
         if step > 0.0 and others.share is None:
             share = min(share, max(self.share, HIGHEST_UNKNOWN_SHARE))
         self.share = max(0.0, share)
@@ -77,17 +101,19 @@
         self, own: _zone_room.ZoneRoom, others: _zone_room.ZoneRoom
     ) -> float:
         """Return the change of the share in a second."""
-        if own.share is None:
+        is_failing = self.is_failing()
+        if own.share is None and not is_failing:
             return -_FALL_WITHOUT_REPORT_PER_S
-        if own.share > AMPLE_ROOM:
+        if own.share is not None and own.share > AMPLE_ROOM and not is_failing:
             return -_FALL_PER_S * (own.share - AMPLE_ROOM)
         if others.share is not None and others.share < FULL_ROOM:
             return -_FALL_WITHOUT_ROOM_PER_S
-        if own.share < SHORT_ROOM and (
-            others.share is None or others.share > OTHER_ROOM
-        ):
-            return _RISE_PER_S * (SHORT_ROOM - own.share)
-        return 0.0
+        if others.share is not None and others.share <= OTHER_ROOM:
+            return 0.0
+        rate = 0.0
+        if own.share is not None and own.share < SHORT_ROOM:
+            rate = _RISE_PER_S * (SHORT_ROOM - own.share)
+        return max(rate, _FAILING_RISE_PER_S) if is_failing else rate
 
     def takes_call(self) -> bool:
         """Return whether the present call goes to another zone."""
--- a/src/jujubetiller/routing/_room_weighted_pool.py
+++ b/src/jujubetiller/routing/_room_weighted_pool.py
@@ -118,6 +118,8 @@
         load = stats.load
         if failed and load.is_refusal and load.is_new:
             return
+        if stats.instance.zone == self.own_zone:
+            self.other_zones.record_own(failed)
         if failed:
             # Weights of instances that fail must not be reused for long.
             self.weights_valid_until_ms = min(
--- a/tests/routing/test_room_weighted_pool.py
+++ b/tests/routing/test_room_weighted_pool.py
@@ -222,3 +222,47 @@
     by_room, by_room_later = share_of_hanging(routing.RoomWeightedRouter)
     assert by_room < by_latency + 0.02
     assert by_room_later > 0.1
+
+
+def test_nearly_all_calls_leave_a_zone_whose_targets_are_dead_and_return() -> None:
+    """Guards against a fifth of the calls that fails at dead targets of live nodes.
+
+    The bound of the share kept 0.20 of the first attempts in the own zone, more than
+    the budget of retries covers.
+    """
+    events = load_model.Events(7)
+    names = [f"{zone}-{number}" for zone in "abc" for number in range(4)]
+    sent: collections.Counter[tuple[bool, int]] = collections.Counter()
+    for number in range(4):
+        router, _ = make_router(events.clock, *names)
+        router.random_source.seed(number)
+
+        def begin(code: codes.ResultCode, router: routing.Router = router) -> None:
+            now_ms = events.clock.now_ms()
+            instance = router.choose("ledger").unwrap()
+            is_own = instance.zone == "a"
+            sent[is_own, int(now_ms // 1_000.0)] += 1
+            router.record_sent(instance)
+            is_dead = is_own and 2e3 <= now_ms < 12e3
+            answer = test_router.ANSWERED
+            if is_dead:
+                answer = calls.make_refusal(codes.ResultCode.TARGET_UNREACHABLE)
+            answer = attrs.evolve(answer, room=20, wait_ms=0.0)
+            took_ms = 2.0 if is_dead else events.random.uniform(10.0, 30.0)
+            events.after(
+                took_ms,
+                lambda: router.record_answer(instance, answer, took_ms, "tally"),
+            )
+
+        events.arrive(lambda now_ms: 100.0, begin)
+    events.run(18_000.0)
+
+    def own_share(periods: range) -> float:
+        counts = [sum(sent[each, p] for p in periods) for each in (True, False)]
+        return counts[0] / sum(counts)
+
+    shares = [own_share(range(*each)) for each in ((0, 2), (4, 12), (15, 18))]
+    print(shares)  # Shown with ``pytest -s``.
+    assert shares[0] == 1.0
+    assert shares[1] < 0.05
+    assert shares[2] > 0.95
