Let the learned limit grow for long calls

Windows now last at least 1.5 run times and until they have their fewest samples, and until the first trial a reached limit grows after 400 ms if ended calls show no higher run times.

--- a/src/jujubetiller/limits/_learned_limit_policy.py
+++ b/src/jujubetiller/limits/_learned_limit_policy.py
@@ -56,6 +56,19 @@
 _WINDOW_RUNS = 3.0
 _MIN_WINDOW_MS = 50.0
 _MAX_WINDOW_MS = 400.0
+_LEAST_WINDOW_RUNS = 1.5
+"""Windows are longer than 400 ms if calls are: only those that start and end inside
+count."""
+
+_GROWTH_MS = 400.0
+_FEWEST_ENDED = 2
+"""Until run times rise for the first time, a reached limit also grows after this time
+if this many calls ended: long calls give samples after seconds only, and a limit that
+is too low costs throughput until then."""
+
+_RECHECK_WINDOWS = 25.0
+"""The pause between trials is at least this many windows, so that trials, whose lower
+limit lasts up to 6 windows, cost long calls no more than short ones."""
 
 _FASTER_RATIO = 0.9
 """Below this the target is faster than its baselines, as after a cold start."""
@@ -139,6 +152,7 @@
             self.smoothed_ratio += 0.05 * (max(1.0, ratio) - self.smoothed_ratio)
             self.run_ms += 0.05 * (min(run_ms, 4.0 * self.run_ms + 1.0) - self.run_ms)
         window = self.window
+        window.add_ended(sample.in_flight)
         if now_ms - run_ms >= window.started_at_ms:
             window.add(ratio, sample.in_flight, sample.succeeded)
         if window.is_over(now_ms):
@@ -147,14 +161,31 @@
                 self.handlers[bool(self.trial)](window, now_ms)
             elif self.trial:
                 self._end_trial(self.high)
+        elif self.trial and window.lacks_calls(now_ms, _BUSY_SHARE * int(self.limit)):
+            self._end_trial(self.high)
+            self._start_window(now_ms)
+        elif not self.trials and self._may_grow_early(window, now_ms):
+            self._grow(self.smoothed_ratio, window, now_ms)
+            self._start_window(now_ms)
 
     def _start_limit(self) -> float:
         return float(max(self.lowest, int(START_SHARE * self.highest)))
 
     def _start_window(self, now_ms: float) -> None:
-        length_ms = max(_MIN_WINDOW_MS, min(_MAX_WINDOW_MS, _WINDOW_RUNS * self.run_ms))
+        longest_ms = max(_MAX_WINDOW_MS, _LEAST_WINDOW_RUNS * self.run_ms)
+        length_ms = max(_MIN_WINDOW_MS, min(longest_ms, _WINDOW_RUNS * self.run_ms))
         self.window = _run_window.RunWindow(now_ms, length_ms)
 
+    def _may_grow_early(self, window: _run_window.RunWindow, now_ms: float) -> bool:
+        """Return whether the limit is reached and nothing speaks against more."""
+        return (
+            self.limit < self.highest
+            and now_ms - window.started_at_ms >= _GROWTH_MS
+            and window.ended >= _FEWEST_ENDED
+            and window.ended_in_flight() >= _BUSY_SHARE * int(self.limit)
+            and self.smoothed_ratio <= ELEVATED_RATIO * self.accepted_ratio
+        )
+
     def _is_busy(self, window: _run_window.RunWindow) -> bool:
         """Return whether the limit was reached during most of the window."""
         return window.in_flight() >= _BUSY_SHARE * int(self.limit)
@@ -237,7 +268,9 @@
         """Keep the limit: fewer calls at once would only be fewer."""
         high_ratio, low_ratio = self.trial[-2:]
         self.accepted_ratio = max(1.0, high_ratio)
-        self.recheck_at_ms = now_ms + _RECHECK_MS
+        self.recheck_at_ms = now_ms + max(
+            _RECHECK_MS, _RECHECK_WINDOWS * window.length_ms
+        )
         self._end_trial(self.high)
         self._log("keeps", now_ms, high_ratio, low_ratio, window)
 
--- a/tests/limits/test_learned_limit_policy.py
+++ b/tests/limits/test_learned_limit_policy.py
@@ -73,6 +73,8 @@
         (Load(slowness=lambda now_ms: 4.0 if now_ms > 5e3 else 1.0), 0.94),
         (Load(fails=lambda now_ms: 0.2 if now_ms > 4e3 else 0.0), 0.94),
         (Load(offered=0.7), 0.95),
+        (Load(slots=6, kinds=(("only", 800.0),)), 0.9),
+        (Load(slots=27, kinds=(("only", 1_500.0),)), 0.9),
         (Load(contention=lambda calls: 1.3 if calls > 0.95 * SLOTS else 1.0), 0.96),
         (Load(contention=lambda calls: max(1.0, calls / KNEE)), 0.95),
     ],
@@ -86,6 +88,8 @@
         "nested calls become slow",
         "a fifth of the calls fails",
         "less than its slots",
+        "few slots and long calls",
+        "calls of 1.5 s",
         "knee at 95%",
         "knee at half, equal throughput beyond",
     ],
@@ -97,6 +101,29 @@
     assert compare(load) > least
 
 
+@pytest.mark.parametrize(("slots", "work_ms"), [(6, 800.0), (27, 1_500.0), (3, 4e3)])
+def test_the_limit_reaches_the_slots_of_a_target_with_long_calls(
+    slots: int, work_ms: float
+) -> None:
+    """Guards against windows too short for any sample, which never raise the limit.
+
+    Half of the slots stayed unused: the limit was 3 of 6, and 13 of 27.
+    """
+    load = Load(slots=slots, kinds=(("only", work_ms),))
+    assert play(load, "learned", 0, 30_000.0).guard.limit == slots
+
+
+def test_a_knee_is_found_with_long_calls() -> None:
+    """Guards against windows that end before the calls of a trial do."""
+    load = Load(
+        contention=lambda calls: max(1.0, (calls / KNEE) ** 2),
+        kinds=(("only", 600.0),),
+    )
+    counts = [play(load, each, 0, 60e3).completed for each in ("learned", "fixed")]
+    print(counts)  # Shown with ``pytest -s``.
+    assert counts[0] > 1.2 * counts[1]
+
+
 @pytest.mark.parametrize("offered", [0.6, 3.0])
 def test_a_target_that_collapses_beyond_half_of_its_slots_completes_more(
     offered: float,
