Give features to the local mesh of a test directly

Cause: the test replaced the loader of settings, whose result the local mesh overrides since it takes features itself, so that the node had none. Change: the test passes the features.

--- a/tests/mesh/test_features.py
+++ b/tests/mesh/test_features.py
@@ -1,25 +1,11 @@
 """Guards against features that work without being asked for, or don't when they are."""
 
 import attrs
-import pytest
-import result
 
-from jujubetiller import limits, mesh, platform, routing, settings
-from standins.mesh_site import documents
+from jujubetiller import limits, mesh, routing, settings
 from tests.mesh import local_mesh, test_ingress
 
 
-def make_node(
-    monkeypatch: pytest.MonkeyPatch, features: settings.FeatureSettings
-) -> local_mesh.LocalMesh:
-    node_settings = platform.load_settings(documents.SETTINGS.encode()).unwrap()
-    node_settings = attrs.evolve(node_settings, features=features)
-    monkeypatch.setattr(
-        platform, "load_settings", lambda data: result.Ok(node_settings)
-    )
-    return local_mesh.LocalMesh()
-
-
 def test_a_node_without_features_reports_no_room_and_uses_all_slots() -> None:
     node = local_mesh.LocalMesh()
     node.receive_call()
@@ -30,11 +16,9 @@
     assert b"jujubetiller_placing" not in node.parts.metrics.render()
 
 
-def test_a_node_that_places_by_room_reports_it_and_reads_it(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_a_node_that_places_by_room_reports_it_and_reads_it() -> None:
     features = settings.FeatureSettings(placing="room", target_limit="learned")
-    node = make_node(monkeypatch, features)
+    node = local_mesh.LocalMesh(features)
     node.receive_call()
     node.target.requests[-1].answer(200, test_ingress.STAMP)
     assert node.answers[0].room == node.parts.guard.limit
