Report the room by the limit before a trial

A trial lowers the limit to three fourths of it for a few run times, and the reported room fell with it, so that callers sent less and calls could leave the zone. The room is now counted from the higher limit of the trial. In the test, a target of 20 slots reported 15 during a trial and now reports 20.

--- a/src/jujubetiller/limits/_learned_limit_policy.py
+++ b/src/jujubetiller/limits/_learned_limit_policy.py
@@ -125,6 +125,14 @@
         """Return the limit, from ``lowest`` to ``highest``."""
         return int(self.limit)
 
+    def reported_limit(self) -> int:
+        """Return the limit, during a trial its higher value.
+
+        A trial needs the calls that the higher limit takes. If callers were told the
+        lower one, they would send fewer, and calls would leave the zone.
+        """
+        return int(self.high if self.trial else self.limit)
+
     def set_highest(self, highest: int) -> None:
         """Change the number of slots, which the limit never exceeds."""
         super().set_highest(highest)
--- a/src/jujubetiller/limits/_limit_policy.py
+++ b/src/jujubetiller/limits/_limit_policy.py
@@ -17,6 +17,10 @@
     def current_limit(self) -> int:
         """Return the limit, from ``lowest`` to ``highest``."""
 
+    def reported_limit(self) -> int:
+        """Return the limit that callers are told, without short trials of others."""
+        return self.current_limit()
+
     @abc.abstractmethod
     def record(self, sample: _latency_sample.LatencySample) -> None:
         """Adjust the limit by one sample, whose object the guard reuses."""
--- a/src/jujubetiller/limits/_room_report.py
+++ b/src/jujubetiller/limits/_room_report.py
@@ -13,8 +13,9 @@
     whenever there is one. Whole numbers take few bytes in an answer.
     """
     queued = guard.queue_length
-    room = guard.limit - guard.in_flight - queued
+    limit = min(guard.slots, guard.policy.reported_limit())
+    room = limit - guard.in_flight - queued
     if room > 0:
         return room, 0
     ahead = 1 - room
-    return room, math.ceil(ahead * guard.mean_run_ms / max(1, guard.limit))
+    return room, math.ceil(ahead * guard.mean_run_ms / max(1, limit))
--- a/tests/limits/test_learned_limit_policy.py
+++ b/tests/limits/test_learned_limit_policy.py
@@ -183,3 +183,27 @@
     for _ in range(5):
         target.submit("", 10.0, lambda code: None)
     assert limits.read_room(target.guard) == (-3, 20)
+
+
+def test_a_trial_of_a_lower_limit_does_not_change_the_reported_room() -> None:
+    """Guards against calls that leave a zone because its targets try a lower limit."""
+    policy = limits.LearnedLimitPolicy(2, 20)
+    guard = limits.build_guard(
+        clock.ManualClock(), settings.LimitSettings(slots=20, policy="fixed")
+    )
+    guard.set_policy(policy)
+    now_ms = 0.0
+    for run_ms in (*(10.0,) * 400, *(40.0,) * 2_000):
+        now_ms += 2.0
+        limit = policy.current_limit()
+        in_flight = limit
+        policy.record(
+            limits.LatencySample(now_ms, run_ms, kind="", in_flight=in_flight)
+        )
+        if policy.trial:
+            break
+    assert policy.current_limit() < limit
+    guard.limit = policy.current_limit()
+    assert limits.read_room(guard) == (limit, 0)
+    guard.set_slots(5)
+    assert limits.read_room(guard)[0] <= 5
