Cover the settings that only the mesh has on the configuration page

FeatureSettings, TeamSettings, QuotaSettings, MemorySettings and the environment variable JUJUBETILLER_FEATURES were missing.

--- a/bench/configuration_page.py
+++ b/bench/configuration_page.py
@@ -19,6 +19,31 @@
 PAGE = pathlib.Path(__file__).parents[1] / "docs" / "configuration.md"
 BEGIN = "<!-- tables written by python -m bench.configuration_page -->\n"
 END = "<!-- end of the tables -->\n"
+MESH_BEGIN = "<!-- mesh tables written by python -m bench.configuration_page -->\n"
+MESH_END = "<!-- end of the mesh tables -->\n"
+
+MESH_SECTIONS: tuple[tuple[str, type], ...] = (
+    ("features", settings.FeatureSettings),
+    ("teams", settings.TeamSettings),
+    ("quotas", settings.QuotaSettings),
+    ("memory", settings.MemorySettings),
+)
+"""Sections that only ``jujubetiller mesh`` has and that have tables. ``store`` and
+``repeats`` are derived from several fields of the TOML file, which the page lists."""
+
+SOURCES = {
+    "features.admission": "`admission` in `JUJUBETILLER_FEATURES`",
+    "features.placing": "`placing` in `JUJUBETILLER_FEATURES`",
+    "features.target_limit": "`target_limit` in `JUJUBETILLER_FEATURES`",
+    "teams.has_strict_revocation": "`bounds.strict_revoke`",
+    "teams.revocation_ms": "`bounds.revoke`",
+    "teams.configuration_ms": "`bounds.config_apply`",
+    "quotas.window_ms": "`bounds.quota_window`",
+    "quotas.overshoot": "`bounds.quota_overshoot`",
+    "quotas.slack": "`bounds.quota_slack`",
+    "memory.limit_mb": "`limits.memory_mb`",
+}
+"""Where fields of ``MESH_SECTIONS`` come from on the users' platform."""
 
 UNITS_BY_SUFFIX = {
     "_ms": "ms",
@@ -28,6 +53,9 @@
     "_highest": "share",
     "_share": "share",
     "_weight": "share",
+    "_mb": "MB",
+    "overshoot": "share",
+    "slack": "requests",
 }
 
 # Meanings of the fields that have no docstring.
@@ -41,6 +69,10 @@
     "keys.epoch_ms": "Time after which the owner starts a new epoch.",
     "keys.keys_per_epoch": "Execution keys that the owner remembers for an epoch.",
     "keys.seal_timeout_ms": "The longest wait for an owner to seal a key.",
+    "quotas.overshoot": "Part by which a team may exceed its rate and burst.",
+    "quotas.slack": "Requests that a team may have beyond that in a window.",
+    "quotas.window_ms": "The window in which the bound holds.",
+    "teams.revocation_ms": "The longest use of a key after it was revoked.",
     "limits.lowest_limit": "The limit never goes below.",
     "limits.policy": "How the concurrency limit is found.",
     "limits.queue_length": "Calls that wait for the target.",
@@ -95,6 +127,7 @@
     if field.validator is _fields.check_name:
         return "1 to 100 printable characters without `/`"
     return {
+        bool: "true, false",
         settings.Address: "an address",
         tuple[settings.Address, ...]: "a list of addresses",
         tuple[str, ...]: "a list of texts of at least 16 characters",
@@ -105,6 +138,8 @@
     """Return the default of a field."""
     if field.default is attrs.NOTHING:
         return "required"
+    if isinstance(field.default, bool):
+        return f"`{field.default}`".lower()
     return "`[]`" if field.default == () else f"`{field.default}`"
 
 
@@ -147,11 +182,42 @@
     return "\n".join(lines) + "\n"
 
 
+def render_mesh_section(name: str, shape: type) -> list[str]:
+    """Return the lines of a table that names where each field comes from."""
+    meanings = read_docstrings(shape)
+    lines = [
+        *("", f"### `{name}` of the mesh", "", inspect.getdoc(shape) or "", ""),
+        "| field | comes from | default | allowed | unit | meaning |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    for field in attrs.fields(shape):
+        path = f"{name}.{field.name}"
+        meaning = meanings.get(field.name) or MEANINGS.get(path, "")
+        lines.append(
+            f"| `{field.name}` | {SOURCES[path]} | {describe_default(field)} | "
+            f"{describe_allowed(field)} | {find_unit(field)} | {meaning} |"
+        )
+    return lines
+
+
+def render_mesh_tables() -> str:
+    """Return the tables of the sections that only the mesh has."""
+    lines: list[str] = []
+    for name, shape in MESH_SECTIONS:
+        lines += render_mesh_section(name, shape)
+    return "\n".join(lines) + "\n"
+
+
 def replace_tables(page: str) -> str:
     """Return ``page`` with its tables replaced by current ones."""
-    head, _, rest = page.partition(BEGIN)
-    _, _, tail = rest.partition(END)
-    return f"{head}{BEGIN}{render_tables()}\n{END}{tail}"
+    for begin, tables, end in (
+        (BEGIN, render_tables(), END),
+        (MESH_BEGIN, render_mesh_tables(), MESH_END),
+    ):
+        head, _, rest = page.partition(begin)
+        _, _, tail = rest.partition(end)
+        page = f"{head}{begin}{tables}\n{end}{tail}"
+    return page
 
 
 if __name__ == "__main__":
