--- a/src/jujubetiller/admission/_node_admission.py
+++ b/src/jujubetiller/admission/_node_admission.py
@@ -115,7 +115,7 @@
         """Compute the load factor, and bound the queue by the time that it takes."""
         guard = self.guard
         # Entry nodes would refuse requests because of a lower limit on trial.
-        limit = guard.steady_limit
+        limit = guard.reported_limit
         # Calls that a rate limit refuses take no slot time.
         is_rate_limited = guard.rate_limit.per_s is not None
         self.load.close_window(
--- a/src/jujubetiller/limits/_learned_limit_policy.py
+++ b/src/jujubetiller/limits/_learned_limit_policy.py
@@ -125,9 +125,13 @@
         """Return the limit, from ``lowest`` to ``highest``."""
         return int(self.limit)
 
-    def steady_limit(self) -> int:
-        """Return the limit from before a trial, while there is one."""
-        return int(self.high) if self.trial else int(self.limit)
+    def reported_limit(self) -> int:
+        """Return the limit, during a trial its higher value.
+
+        A trial needs the calls that the higher limit takes. If callers were told the
+        lower one, they would send fewer, and calls would leave the zone.
+        """
+        return int(self.high if self.trial else self.limit)
 
     def set_highest(self, highest: int) -> None:
         """Change the number of slots, which the limit never exceeds."""
--- a/src/jujubetiller/limits/_limit_policy.py
+++ b/src/jujubetiller/limits/_limit_policy.py
@@ -17,8 +17,8 @@
     def current_limit(self) -> int:
         """Return the limit, from ``lowest`` to ``highest``."""
 
-    def steady_limit(self) -> int:
-        """Return the limit without a lower one that is only on trial."""
+    def reported_limit(self) -> int:
+        """Return the limit that callers are told, without short trials of others."""
         return self.current_limit()
 
     @abc.abstractmethod
--- a/src/jujubetiller/limits/_target_guard.py
+++ b/src/jujubetiller/limits/_target_guard.py
@@ -81,9 +81,9 @@
         return self.queue.length
 
     @property
-    def steady_limit(self) -> int:
+    def reported_limit(self) -> int:
         """Return ``limit`` without a lower one that the policy only tries."""
-        return min(self.slots, self.policy.steady_limit())
+        return min(self.slots, self.policy.reported_limit())
 
     def submit(self, entry: _guard_entry.GuardEntry) -> None:
         """Start, queue or refuse ``entry``."""
