Admit by cost once there are teams, if the settings ask for that

Change: the choice "teams" begins it with the first teams of the configuration, when no call is at the target; without teams the throttles decide as before.

--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -38,6 +38,7 @@
     _status_sites,
     _store_reading,
     _store_stability,
+    _team_admission,
 )
 
 _LOG = logbook.Logger("jujubetiller.mesh")
@@ -132,6 +133,7 @@
             _service_peers.ServicePeers(self.parts),
         )
         self.load_log = _load_log.LoadLog(self.parts)
+        self.team_admission = _team_admission.TeamAdmission(self.parts)
         self.class_order = _class_order.ClassOrder(self.parts)
         self.proof_interval = _proof_interval.ProofInterval(self.parts, self.reading)
         self.ports: dict[str, interfaces.IListeningPort] = {}
@@ -235,6 +237,7 @@
             self.applied_version = self.parts.configuration.version
             self.parts.directory.refresh()
             self.apply_bounds()
+            self.team_admission.apply()
             self.class_order.apply()
             self.proof_interval.apply()
         self.parts.quota.apply()
@@ -267,6 +270,7 @@
         pause_ms = REMOVALS_INTERVAL_MS if has_removals else HOUSEKEEPING_INTERVAL_MS
         # Scheduled first, so that an exception below does not end the tasks.
         self.reactor.callLater(pause_ms / 1000.0, self.run_housekeeping)
+        self.team_admission.apply()
         self.parts.directory.apply_removals()
         if has_removals:
             self.reading.confirm_removals()
--- a/src/jujubetiller/settings/_feature_settings.py
+++ b/src/jujubetiller/settings/_feature_settings.py
@@ -9,9 +9,10 @@
 class FeatureSettings:
     """Which admission, placement and limit a node uses."""
 
-    admission: str = _fields.choice("delay", "delay", "cost")
+    admission: str = _fields.choice("delay", "delay", "cost", "teams")
     """Admit requests where they enter by the queueing delays that answers report, or by
-    what they cost where the call graph is narrowest."""
+    what they cost at the services that are full; with "teams", by cost once the
+    configuration has teams."""
 
     placing: str = _fields.choice("latency", "latency", "room")
     """Spread calls by relative latency, or by the room that targets' nodes report."""
