--- a/tests/mesh/test_team_admission.py
+++ b/tests/mesh/test_team_admission.py
@@ -4,7 +4,7 @@
 
 from jujubetiller import admission, settings
 from standins.mesh_site import documents
-from tests.mesh import local_mesh
+from tests.mesh import local_mesh, test_ingress
 
 TEAM = {"name": "kitchen", "api_keys": ["key"], "priority": 0}
 
@@ -37,6 +37,6 @@
     node.receive_call()
     publish_teams(node)
     assert node.parts.admission is None
-    node.target.requests[-1].answer(200, ())
+    node.target.requests[-1].answer(200, test_ingress.STAMP)
     node.node.run_housekeeping()
     assert node.parts.admission is not None
