Give trials of learned limits a class of their own

LimitTrial has the ratios of each side and the gains; averages, the log line and the length of windows have modules of their own.

Two tests read the values at their new places.

--- a/src/jujubetiller/limits/_run_window.py
+++ b/src/jujubetiller/limits/_run_window.py
@@ -16,6 +16,13 @@
 
 _FEWEST_SAMPLES = 6
 
+_WINDOW_RUNS = 3.0
+_MIN_WINDOW_MS = 50.0
+_MAX_WINDOW_MS = 400.0
+_MIN_WINDOW_RUNS = 1.5
+"""Windows are longer than 400 ms if calls are: only those that start and end inside
+count."""
+
 
 @attrs.define
 class RunWindow:
@@ -82,3 +89,10 @@
     def in_flight(self) -> float:
         """Return the average number of calls in progress."""
         return self.in_flight_sum / self.samples
+
+
+def start_window(now_ms: float, run_ms: float) -> RunWindow:
+    """Return a window of a length for calls with the average run time ``run_ms``."""
+    longest_ms = max(_MAX_WINDOW_MS, _MIN_WINDOW_RUNS * run_ms)
+    length_ms = max(_MIN_WINDOW_MS, min(longest_ms, _WINDOW_RUNS * run_ms))
+    return RunWindow(now_ms, length_ms)
--- a/tests/admission/test_node_admission.py
+++ b/tests/admission/test_node_admission.py
@@ -156,7 +156,8 @@
     assert play(20) == pytest.approx(0.9, rel=0.01)
     assert guard.limit == 15
     # A limit that is lowered for good counts.
-    policy._end_trial(policy.low)
+    assert policy.trial is not None
+    policy._end_trial(policy.trial.low)
     assert play(20) == pytest.approx(1.2, rel=0.01)
 
 
--- a/tests/limits/test_learned_limit_policy.py
+++ b/tests/limits/test_learned_limit_policy.py
@@ -170,7 +170,7 @@
     policy = limits.LearnedLimitPolicy(2, 10)
     for number in range(300):
         policy.record(limits.LatencySample(at_ms=number, run_ms=5.0, kind=str(number)))
-    assert len(policy.baselines.by_kind) <= 257
+    assert len(policy.averages.baselines.by_kind) <= 257
     assert policy.read_values()["kinds_over_bound"] > 0
 
 
