Split the choice of the costs that an answer reports

One method evicted, estimated, logged and decided what goes with the answer. Times before the first computation are minus infinity, and the constants name the answers that they count. tests/admission/test_node_admission.py and test_cost_estimator.py pass.

--- a/src/jujubetiller/admission/_node_admission.py
+++ b/src/jujubetiller/admission/_node_admission.py
@@ -19,13 +19,13 @@
 
 LOG_INTERVAL_MS = 1_000.0
 
-COSTS_EACH_ANSWERS = 8
+ANSWERS_PER_COST_REPORT = 8
 """Unchanged costs go with one of this many answers of their kind."""
 
 CHANGED_SHARE = 0.2
 """Costs that change by more than this share go with more answers at once."""
 
-ANSWERS_OF_CHANGE = 64
+ANSWERS_AFTER_CHANGE = 64
 """Answers that report a change: about one to each node of a deployment."""
 
 COMPUTE_INTERVAL_MS = 500.0
@@ -51,10 +51,10 @@
 
     costs: tuple[tuple[str, float], ...] = ()
     reported_costs: tuple[tuple[str, float], ...] = ()
-    computed_at_ms: float = -1e12
-    known_at_ms: float = -1e12
+    computed_at_ms: float = -math.inf
+    known_at_ms: float = -math.inf
     answers: int = 0
-    answers_of_change: int = 0
+    answers_after_change: int = 0
 
 
 class NodeAdmission(limits.GuardObserver):
@@ -178,35 +178,48 @@
 
     def choose_costs(self, kind: str) -> tuple[tuple[str, float], ...]:
         """Return the costs that the next answer to a call of ``kind`` reports."""
+        found = self._find_reported(kind)
+        if self.clock.now_ms() - found.computed_at_ms >= COMPUTE_INTERVAL_MS:
+            self._refresh(kind, found)
+        return found.costs if self._is_sent_now(found) else ()
+
+    def _find_reported(self, kind: str) -> _Reported:
+        """Return what is reported about a kind; a new kind may replace the oldest."""
         found = self.reported.get(kind)
         if found is None:
             if len(self.reported) >= _cost_estimator.MAX_KINDS:
                 self.reported.pop(next(iter(self.reported)))
             found = self.reported[kind] = _Reported()
+        return found
+
+    def _refresh(self, kind: str, found: _Reported) -> None:
+        """Estimate the costs of a kind again, and log a change."""
+        found.computed_at_ms = self.clock.now_ms()
+        costs = self.estimator.estimate(self.service, kind, self.costs)
+        if costs is not None:
+            found.known_at_ms = found.computed_at_ms
+            found.costs = tuple((name, round(ms, 2)) for name, ms in costs.items())
+        elif found.computed_at_ms - found.known_at_ms > KEPT_UNKNOWN_MS:
+            found.costs = ()
+        if has_changed(found.reported_costs, found.costs):
+            _LOG.info(
+                "costs of a kind changed",
+                extra={
+                    "kind": kind,
+                    "costs_ms": dict(found.costs),
+                    "before_ms": dict(found.reported_costs),
+                },
+            )
+            found.reported_costs = found.costs
+            found.answers_after_change = ANSWERS_AFTER_CHANGE
+
+    def _is_sent_now(self, found: _Reported) -> bool:
+        """Count an answer, and return whether the costs go with it."""
         found.answers += 1
-        if self.clock.now_ms() - found.computed_at_ms >= COMPUTE_INTERVAL_MS:
-            found.computed_at_ms = self.clock.now_ms()
-            costs = self.estimator.estimate(self.service, kind, self.costs)
-            if costs is not None:
-                found.known_at_ms = found.computed_at_ms
-                found.costs = tuple((name, round(ms, 2)) for name, ms in costs.items())
-            elif found.computed_at_ms - found.known_at_ms > KEPT_UNKNOWN_MS:
-                found.costs = ()
-            if has_changed(found.reported_costs, found.costs):
-                _LOG.info(
-                    "costs of a kind changed",
-                    extra={
-                        "kind": kind,
-                        "costs_ms": dict(found.costs),
-                        "before_ms": dict(found.reported_costs),
-                    },
-                )
-                found.reported_costs = found.costs
-                found.answers_of_change = ANSWERS_OF_CHANGE
-        if found.answers_of_change:
-            found.answers_of_change -= 1
-            return found.costs
-        return found.costs if found.answers % COSTS_EACH_ANSWERS == 0 else ()
+        if found.answers_after_change:
+            found.answers_after_change -= 1
+            return True
+        return found.answers % ANSWERS_PER_COST_REPORT == 0
 
     def read_counters(self) -> dict[str, float]:
         """Return the numbers of refusals and of what bounds left out, for metrics."""
