Move the records of the cost estimator to modules of their own

One module had four classes. Constants name what they bound or weigh. tests/admission/test_node_admission.py and test_cost_estimator.py pass.

--- a/src/jujubetiller/admission/_cost_estimator.py
+++ b/src/jujubetiller/admission/_cost_estimator.py
@@ -1,20 +1,21 @@
 """Estimates how many nested calls the requests at one target make."""
 
-import collections
 import math
 import random
 
-import attrs
-
 from jujubetiller import clock
-from jujubetiller.admission import _cost_table, _fit_sample, _rate_fit
+from jujubetiller.admission import (
+    _call_event,
+    _cost_table,
+    _fit_sample,
+    _nested_calls,
+    _rate_fit,
+    _request_kind,
+)
 
 TIME_CONSTANT_MS = 15_000.0
 """Time constant with which observations lose weight."""
 
-MAX_EVENTS = 640
-"""Calls of one kind that are kept with the kinds that ran when they left."""
-
 KEPT_EVENTS_PER_S = 25.0
 """Calls beyond this rate are sampled at random, so that the kept ones span more than
 two time constants."""
@@ -27,7 +28,10 @@
 
 MIN_EXPOSURE_MS = 1e-3
 
-MIN_ENDS = 12.0
+MIN_CALLS = 1e-3
+"""Kinds of nested calls below this decayed number are forgotten."""
+
+MIN_ENDED_REQUESTS = 12.0
 """Below this decayed number of ended requests, a kind's costs count as unknown."""
 
 MAX_RELATIVE_ERROR = 0.35
@@ -42,8 +46,10 @@
 """Calls per request up to which their costs need not be known."""
 
 RUN_WEIGHT = 0.1
+"""Weight of a new sample in the moving average of run times."""
 
 FAILURE_WEIGHT = 0.02
+"""Weight of a new sample in the moving average of failures."""
 
 MAX_FAILURE_SHARE = 0.15
 """While more requests fail, nothing is learned: requests that fail at their first call
@@ -53,52 +59,6 @@
 """Learning pauses for this long at most, as some kinds fail for other reasons."""
 
 
-@attrs.define
-class _Kind:
-    """What is known of the requests of one kind at the target."""
-
-    running: int = 0
-    mean_run_ms: float = 0.0
-    """Moving average of the run time, which follows changes within some requests."""
-
-    exposure_ms: float = 0.0
-    """Decayed sum of running time."""
-
-    ends: float = 0.0
-    """Decayed number of ended requests."""
-
-    @property
-    def slot_ms(self) -> float:
-        """Return the mean time in which a request ran, 0 if it is unknown."""
-        return self.exposure_ms / self.ends if self.ends > 0.0 else 0.0
-
-
-@attrs.define
-class _Event:
-    """A nested call that left, with the numbers of requests that ran by kind."""
-
-    at_ms: float
-    running: dict[str, int]
-
-
-@attrs.define
-class _Calls:
-    """The nested calls of one kind."""
-
-    count: float = 0.0
-    """Decayed number of calls."""
-
-    events: collections.deque[_Event] = attrs.Factory(
-        lambda: collections.deque(maxlen=MAX_EVENTS)
-    )
-    per_ms: dict[str, float] = attrs.Factory(dict)
-    """Estimated calls per running millisecond, by kind of the request."""
-
-    errors: dict[str, float] = attrs.Factory(dict)
-    """Standard errors of ``per_ms``; infinite for kinds that cannot be
-    distinguished. Kinds that were not fitted yet are missing."""
-
-
 class CostEstimator:
     """Attributes nested calls to the kinds of requests that run at the target.
 
@@ -111,8 +71,8 @@
     def __init__(self, time_source: clock.Clock, random_source: random.Random) -> None:
         self.clock = time_source
         self.random = random_source
-        self.kinds: dict[str, _Kind] = {}
-        self.calls: dict[str, _Calls] = {}
+        self.kinds: dict[str, _request_kind.RequestKind] = {}
+        self.calls: dict[str, _nested_calls.NestedCalls] = {}
         self.advanced_at_ms = time_source.now_ms()
         self.updated_at_ms = self.advanced_at_ms
         self.over_bound = 0
@@ -127,7 +87,7 @@
             if len(self.kinds) >= MAX_KINDS:
                 self.over_bound += 1
                 return
-            found = self.kinds[kind] = _Kind()
+            found = self.kinds[kind] = _request_kind.RequestKind()
         found.running += 1
 
     def record_end(self, kind: str, run_ms: float, succeeded: bool) -> None:
@@ -165,14 +125,14 @@
             if len(self.calls) >= MAX_KINDS:
                 self.over_bound += 1
                 return
-            found = self.calls[kind] = _Calls()
+            found = self.calls[kind] = _nested_calls.NestedCalls()
         found.count += 1.0
         rate_per_s = found.count * 1_000.0 / TIME_CONSTANT_MS
         if self.random.random() * rate_per_s < KEPT_EVENTS_PER_S:
             running = {name: one.running for name, one in self.kinds.items()}
             running = {name: number for name, number in running.items() if number}
             if running:
-                found.events.append(_Event(self.advanced_at_ms, running))
+                found.events.append(_call_event.CallEvent(self.advanced_at_ms, running))
 
     def mean_run_ms(self, kind: str) -> float:
         """Return the recent mean run time of a kind, 0 if it is unknown."""
@@ -198,7 +158,7 @@
         None if the estimate is not reliable, or the costs of its calls are unknown.
         """
         found = self.kinds.get(kind)
-        if found is None or found.ends < MIN_ENDS:
+        if found is None or found.ends < MIN_ENDED_REQUESTS:
             return None
         costs = {service: found.slot_ms}
         error_ms = 0.0
@@ -263,10 +223,10 @@
         for name in [n for n, kind in self.kinds.items() if not kind.running]:
             if self.kinds[name].exposure_ms < MIN_EXPOSURE_MS:
                 del self.kinds[name]
-        for name in [n for n, found in self.calls.items() if found.count < 1e-3]:
+        for name in [n for n, found in self.calls.items() if found.count < MIN_CALLS]:
             del self.calls[name]
 
-    def _fit(self, found: _Calls) -> None:
+    def _fit(self, found: _nested_calls.NestedCalls) -> None:
         exposures = {
             name: kind.exposure_ms
             for name, kind in self.kinds.items()
