Split the computation of admitted shares

Two identical loops built offers, of rare teams and of others, inside a method with four steps. tests/admission/test_node_admission.py passes.

--- a/src/jujubetiller/admission/_entry_admission.py
+++ b/src/jujubetiller/admission/_entry_admission.py
@@ -217,30 +217,47 @@
             for (route, _), one in self.offered.items()
         }
         for service, fraction in self.fractions.items():
-            offers = []
-            for (route, team), (_, priority_class) in rare.items():
-                cost_ms = (self.costs.find(route) or {}).get(service, 0.0)
-                if cost_ms > 0.0:
-                    offers.append(
-                        _allocate.Offer(
-                            route, team, priority_class, _RARE_PER_S, cost_ms
-                        )
-                    )
-            for (route, team), found in self.offered.items():
-                cost_ms = (self.costs.find(route) or {}).get(service, 0.0)
-                if cost_ms > 0.0:
-                    offers.append(
-                        _allocate.Offer(
-                            route, team, found.priority_class, found.per_s, cost_ms
-                        )
-                    )
-            offers = _allocate.drop_negligible(offers)
-            for key, share in _allocate.allocate(offers, fraction, floor).items():
-                if key in rare:
-                    known = self.rare_shares.get(rare[key], 1.0)
-                    self.rare_shares[rare[key]] = min(known, share)
-                else:
-                    self.offered[key].share = min(self.offered[key].share, share)
+            offers = _allocate.drop_negligible(self._list_offers(service, rare))
+            shares = _allocate.allocate(offers, fraction, floor)
+            self._apply_shares(shares, rare)
+
+    def _list_offers(
+        self, service: str, rare: dict[tuple[str, str], tuple[str, int]]
+    ) -> list[_allocate.Offer]:
+        """Return the offers of requests that use ``service``, those of ``rare`` first.
+
+        ``rare`` has the route and class of rare teams by route and name.
+        """
+        offers = [
+            self._make_offer(service, key, priority_class, _RARE_PER_S)
+            for key, (_, priority_class) in rare.items()
+        ]
+        offers += [
+            self._make_offer(service, key, found.priority_class, found.per_s)
+            for key, found in self.offered.items()
+        ]
+        return [offer for offer in offers if offer.cost_ms > 0.0]
+
+    def _make_offer(
+        self, service: str, key: tuple[str, str], priority_class: int, per_s: float
+    ) -> _allocate.Offer:
+        """Return the offer of a route and team, with cost 0 if it is not known."""
+        route, team = key
+        cost_ms = (self.costs.find(route) or {}).get(service, 0.0)
+        return _allocate.Offer(route, team, priority_class, per_s, cost_ms)
+
+    def _apply_shares(
+        self,
+        shares: dict[tuple[str, str], float],
+        rare: dict[tuple[str, str], tuple[str, int]],
+    ) -> None:
+        """Lower the shares of requests to those that one service allows."""
+        for key, share in shares.items():
+            if key in rare:
+                known = self.rare_shares.get(rare[key], 1.0)
+                self.rare_shares[rare[key]] = min(known, share)
+            else:
+                self.offered[key].share = min(self.offered[key].share, share)
 
     def _log_if_due(self) -> None:
         now_ms = self.clock.now_ms()
