--- a/src/jujubetiller/routing/_latency_weighted_pool.py
+++ b/src/jujubetiller/routing/_latency_weighted_pool.py
@@ -14,14 +14,15 @@
 DECAY_MS = 5_000.0
 """Time constant of the decay of old samples."""
 
-_LATENCY_EXPONENT = 4.0
+LATENCY_EXPONENT = 4.0
 """An instance that is twice as slow gets a sixteenth of the calls."""
 
 _OTHER_ZONE_WEIGHT = 0.01
 """Traffic between zones costs, so an instance in another zone gets this share of
 the calls of an equally fast one in the own zone."""
 
-_FAILURE_COST = 10.0
+FAILURE_COST = 10.0
+"""Relative increase of the cost of an instance whose calls all fail."""
 
 WEIGHTS_TTL_MS = 10.0
 """How long computed weights are reused. They change little in this time, and a busy
@@ -113,8 +114,8 @@
         relative_latency = max(
             _MIN_RELATIVE_LATENCY, 1.0 + (stats.relative_latency - 1.0) * decay
         )
-        cost = relative_latency * (1.0 + _FAILURE_COST * stats.failure_rate * decay)
-        return cost**-_LATENCY_EXPONENT * stats.warm_share(now_ms)
+        cost = relative_latency * (1.0 + FAILURE_COST * stats.failure_rate * decay)
+        return cost**-LATENCY_EXPONENT * stats.warm_share(now_ms)
 
     def _candidates(self, exclude: frozenset[str]) -> list[_Stats]:
         candidates = [*self.own_zone_stats, *self.other_zone_stats]
--- a/src/jujubetiller/routing/_room_weighted_pool.py
+++ b/src/jujubetiller/routing/_room_weighted_pool.py
@@ -27,10 +27,6 @@
 REPORTING_MS = 5_000.0
 """An instance whose last report is older is placed by relative latency."""
 
-_FAILURE_COST = 10.0
-_FAILURE_EXPONENT = 4.0
-"""Failures weigh as in the latency-weighted pool."""
-
 _ROOM_GAIN = 2.0
 """Exponent of the correction by the room that an instance reports on average. It
 corrects speeds and limits that are not what this node assumes."""
@@ -251,8 +247,9 @@
             decay = math.exp(
                 (stats.updated_at_ms - now_ms) / _latency_weighted_pool.DECAY_MS
             )
-            cost = 1.0 + _FAILURE_COST * stats.failure_rate * decay
-            weight *= cost**-_FAILURE_EXPONENT
+            failure_cost = _latency_weighted_pool.FAILURE_COST
+            cost = 1.0 + failure_cost * stats.failure_rate * decay
+            weight *= cost**-_latency_weighted_pool.LATENCY_EXPONENT
         if now_ms < stats.warm_at_ms:
             weight *= max(_WARM_FLOOR, stats.warm_share(now_ms))
         return weight
--- a/src/jujubetiller/routing/_zone_room.py
+++ b/src/jujubetiller/routing/_zone_room.py
@@ -5,15 +5,17 @@
 
 import attrs
 
-from jujubetiller.routing import _instance_stats, _load_report
+from jujubetiller.routing import (
+    _instance_stats,
+    _latency_weighted_pool,
+    _load_report,
+)
 
 _Stats = _instance_stats.InstanceStats
 
 _FADE_MS = 500.0
 """Longer than for a single instance: the load of a zone changes over seconds."""
 
-_DECAY_MS = 5_000.0
-
 _FAILURE_ROOM = 4.0
 """An idle instance at which a fourth of the calls fail counts as one without room."""
 
@@ -45,7 +47,9 @@
         load = stats.load
         failure_rate = stats.failure_rate
         if failure_rate > 0.0:
-            failure_rate *= math.exp((stats.updated_at_ms - now_ms) / _DECAY_MS)
+            failure_rate *= math.exp(
+                (stats.updated_at_ms - now_ms) / _latency_weighted_pool.DECAY_MS
+            )
         is_young = now_ms - load.at_ms < _load_report.YOUNG_MS
         if is_young:
             factor = weight * math.exp((load.at_ms - now_ms) / _FADE_MS)
