Name what the constants of placing by room measure

Times named fade, young and lasting are decay times and a highest age; two numbers had no name, and three rates no reason. take_call changes the sum of shares, so its name is a command. Tests of the pools pass.

--- a/src/jujubetiller/routing/_load_report.py
+++ b/src/jujubetiller/routing/_load_report.py
@@ -4,17 +4,17 @@
 
 import attrs
 
-FADE_MS = 300.0
+REPORT_DECAY_MS = 300.0
 """Time constant with which a report loses its weight against the average of its zone.
 Other callers, whose calls it does not contain, fill or free instances in that time."""
 
-YOUNG_MS = 900.0
+MAX_REPORT_AGE_MS = 900.0
 """Age beyond which a report has less than 5% of its weight and is not consulted."""
 
-LASTING_MS = 60_000.0
+SPEED_DECAY_MS = 60_000.0
 """Time constant with which a learned speed returns to the average without calls."""
 
-RECENT_MS = 300.0
+RECENT_SPEED_DECAY_MS = 300.0
 """Time constant of the speed at present, for slow-downs of about 600 ms."""
 
 OVERDUE_DECAY_MS = 5_000.0
@@ -28,6 +28,7 @@
 _LASTING_WEIGHT = 0.05
 _RECENT_WEIGHT = 0.3
 _ROOM_WEIGHT = 0.1
+"""Weights of a new sample in the moving averages."""
 
 MAX_RATIO = 4.0
 """Bound on the effect of one call: 3% of the work takes seven times as long."""
@@ -40,7 +41,8 @@
     """The last report of one instance, its age, and the learned speed."""
 
     room: int = 0
-    """Calls that the instance took at that time beyond those it had."""
+    """Calls that the target could take beyond those it had; negative if calls
+    waited."""
 
     wait_ms: float = 0.0
     at_ms: float = -math.inf
@@ -121,12 +123,12 @@
 
     def read_run_ratio(self, now_ms: float) -> float:
         """Return the lasting relative run time, which fades to 1."""
-        fade = math.exp((self.ratio_at_ms - now_ms) / LASTING_MS)
+        fade = math.exp((self.ratio_at_ms - now_ms) / SPEED_DECAY_MS)
         return max(MIN_RATIO, 1.0 + (self.run_ratio - 1.0) * fade)
 
     def read_recent_ratio(self, now_ms: float) -> float:
         """Return the relative run time at present, which fades to the lasting one."""
-        fade = math.exp((self.ratio_at_ms - now_ms) / RECENT_MS)
+        fade = math.exp((self.ratio_at_ms - now_ms) / RECENT_SPEED_DECAY_MS)
         return self.run_ratio + (self.recent_ratio - self.run_ratio) * fade
 
     def room_share(self, slots: int) -> float:
@@ -143,13 +145,13 @@
         ``average_wait_ms`` is expected as far as the report has faded.
         """
         run_ms *= self.read_recent_ratio(now_ms)
-        fade = math.exp((self.at_ms - now_ms) / FADE_MS)
+        fade = math.exp((self.at_ms - now_ms) / REPORT_DECAY_MS)
         lack = self.sent_since - max(self.room - 1, 0)
         wait_ms = self.wait_ms
         if lack > 0:
             wait_ms += lack * run_ms / (slots or self.highest_room)
         expected_ms = run_ms + fade * wait_ms + (1.0 - fade) * average_wait_ms
-        if now_ms - self.at_ms > YOUNG_MS:
+        if now_ms - self.at_ms > MAX_REPORT_AGE_MS:
             # Nothing was answered since, so another call may wait as long.
             expected_ms += max(0.0, now_ms - self.silent_since_ms)
         return expected_ms
--- a/src/jujubetiller/routing/_other_zone_share.py
+++ b/src/jujubetiller/routing/_other_zone_share.py
@@ -24,8 +24,16 @@
 swings by 55% over 17 s changes by at most 0.2 a second."""
 
 _FALL_PER_S = 4.0
+"""Change of the share in a second for each unit of room beyond the ample one. It is
+greater than for the rise, because traffic between zones costs."""
+
 _FALL_WITHOUT_ROOM_PER_S = 0.5
+"""Change of the share in a second while other zones are full: calls that wait there as
+they would in the own zone cost traffic for nothing."""
+
 _FALL_WITHOUT_REPORT_PER_S = 0.2
+"""Change of the share in a second without a report of the own zone: calls that return
+bring reports, and a slow return does not fill a zone that still lacks room."""
 
 HIGHEST_SHARE = 0.8
 """The rest keeps the reports of the own zone young."""
@@ -40,6 +48,8 @@
 does not fade with time, as few calls are sent there; three answers end it."""
 
 _FAILING_RISE_PER_S = 1.0
+"""Lowest change of the share in a second while the own zone fails most calls, so that
+nearly all calls leave it within a second."""
 
 HIGHEST_UNKNOWN_SHARE = 0.1
 """Bound while no report of another zone is young: the first calls bring reports."""
@@ -115,8 +125,8 @@
             rate = _RISE_PER_S * (SHORT_ROOM - own.share)
         return max(rate, _FAILING_RISE_PER_S) if is_failing else rate
 
-    def takes_call(self) -> bool:
-        """Return whether the present call goes to another zone."""
+    def take_call(self) -> bool:
+        """Count a call, and return whether it goes to another zone."""
         if self.share <= 0.0:
             return False
         self.due += self.share
--- a/src/jujubetiller/routing/_room_weighted_pool.py
+++ b/src/jujubetiller/routing/_room_weighted_pool.py
@@ -22,11 +22,18 @@
 """How long weights are reused: learned speeds change over seconds. Each 12 further
 instances add as much, so that large services take no more processor time."""
 
-_REFRESHED_TOGETHER = 12
+_INSTANCES_PER_WEIGHTS_TTL = 12
 
 REPORTING_MS = 5_000.0
 """An instance whose last report is older is placed by relative latency."""
 
+_MIN_FAILURE_RATE = 0.001
+"""Lower failure rates change the weight by at most 4%, and are left out."""
+
+_MIN_RUN_SHARE = 0.3
+"""Least part of the time of a call that counts as its run time: the reported wait is
+that of the next call, and may exceed the wait of this one."""
+
 _ROOM_GAIN = 2.0
 """Exponent of the correction by the room that an instance reports on average. It
 corrects speeds and limits that are not what this node assumes."""
@@ -41,7 +48,11 @@
 """Refused calls go to other zones down to this room: they have lost time already."""
 
 _RUN_WEIGHT = 0.05
-_DRAWS = 3
+"""Weight of a new sample in the average run time."""
+
+_MAX_DRAWS_FOR_SECOND = 3
+"""Draws for an instance other than the first one: an instance with most of the weight
+is often drawn again."""
 
 
 @attrs.frozen
@@ -123,7 +134,7 @@
                 now_ms + _latency_weighted_pool.WEIGHTS_TTL_MS,
             )
         elif load.is_new:
-            took_ms = max(took_ms - load.wait_ms, 0.3 * took_ms)
+            took_ms = max(took_ms - load.wait_ms, _MIN_RUN_SHARE * took_ms)
             self.run_ms += _RUN_WEIGHT * (took_ms - self.run_ms)
             average_ms = self.times.by_kind.get(kind)
             if average_ms is not None:
@@ -148,7 +159,7 @@
         if (self.other_zones.share > 0.0 or exclude) and others.candidates:
             # A call that the own zone refused for lack of room goes on at once.
             is_short = bool(exclude) and self._may_leave_after_refusal()
-            if is_short or self.other_zones.takes_call():
+            if is_short or self.other_zones.take_call():
                 chosen = self._draw_better(others, now_ms)
                 if not _is_full(chosen, now_ms):
                     self.sent_to_other_zones += 1
@@ -171,7 +182,7 @@
         age_ms = now_ms - load.at_ms
         if age_ms >= REPORTING_MS:
             return first
-        if age_ms > _load_report.YOUNG_MS:
+        if age_ms > _load_report.MAX_REPORT_AGE_MS:
             if not load.sent_since:
                 return first
         elif (
@@ -179,7 +190,7 @@
             and load.recent_ratio < _SLOWED_RATIO * load.run_ratio
         ):
             return first
-        for _ in range(_DRAWS):
+        for _ in range(_MAX_DRAWS_FOR_SECOND):
             second = choices.draw(draw())
             if second is not first:
                 self.compared += 1
@@ -217,7 +228,7 @@
         if self.own.candidates and self.others.candidates:
             service = self.own.candidates[0].instance.service
             self.other_zones.update(service, self.own_room, self.other_room, now_ms)
-        groups = 1 + len(self.own.candidates) // _REFRESHED_TOGETHER
+        groups = 1 + len(self.own.candidates) // _INSTANCES_PER_WEIGHTS_TTL
         self.weights_valid_until_ms = now_ms + WEIGHTS_TTL_MS * groups
 
     def _make_choices(self, candidates: list[_Stats], now_ms: float) -> Choices:
@@ -243,7 +254,7 @@
         weight *= load.overdue_weight(now_ms) / load.read_run_ratio(now_ms)
         if mean_slots and stats.instance.slots:
             weight *= stats.instance.slots / mean_slots
-        if stats.failure_rate > 0.001:
+        if stats.failure_rate > _MIN_FAILURE_RATE:
             decay = math.exp(
                 (stats.updated_at_ms - now_ms) / _latency_weighted_pool.DECAY_MS
             )
@@ -271,5 +282,5 @@
 def _is_full(stats: _Stats, now_ms: float) -> bool:
     """Return whether a young report leaves the instance no room."""
     load = stats.load
-    is_young = now_ms - load.at_ms < _load_report.FADE_MS
+    is_young = now_ms - load.at_ms < _load_report.REPORT_DECAY_MS
     return is_young and load.room <= load.sent_since
--- a/src/jujubetiller/routing/_zone_room.py
+++ b/src/jujubetiller/routing/_zone_room.py
@@ -50,7 +50,7 @@
             failure_rate *= math.exp(
                 (stats.updated_at_ms - now_ms) / _latency_weighted_pool.DECAY_MS
             )
-        is_young = now_ms - load.at_ms < _load_report.YOUNG_MS
+        is_young = now_ms - load.at_ms < _load_report.MAX_REPORT_AGE_MS
         if is_young:
             factor = weight * math.exp((load.at_ms - now_ms) / _FADE_MS)
             share = load.room_share(stats.instance.slots)
--- a/tests/routing/test_room_weighted_pool.py
+++ b/tests/routing/test_room_weighted_pool.py
@@ -165,11 +165,11 @@
     for number in range(1, 11):
         share.update("ledger", room(-1.0), room(0.6), number * 50.0)
     assert share.is_sending
-    assert sum(share.takes_call() for _ in range(100)) >= 50
+    assert sum(share.take_call() for _ in range(100)) >= 50
     for number in range(11, 31):
         share.update("ledger", room(0.4), room(0.6), number * 50.0)
     assert not share.is_sending
-    assert not any(share.takes_call() for _ in range(100))
+    assert not any(share.take_call() for _ in range(100))
 
 
 def share_of_hanging(router_class: type[routing.Router]) -> tuple[float, float]:
