Return the room of a target as a class

read_room returned two numbers by position; the interval of starts from less important buckets had a name that hid what it counts. Tests of the fair queue and of the reported room pass; tests/load_model.py and tests/limits/test_learned_limit_policy.py read the class.

--- a/src/jujubetiller/limits/__init__.py
+++ b/src/jujubetiller/limits/__init__.py
@@ -24,11 +24,12 @@
 from jujubetiller.limits._rate_limiter import RateLimiter
 from jujubetiller.limits._rate_meter import RateMeter
 from jujubetiller.limits._refusal_level import RefusalLevel
-from jujubetiller.limits._room_report import read_room
+from jujubetiller.limits._room_report import RoomReport, read_room
 from jujubetiller.limits._run_time_estimates import RunTimeEstimates
 from jujubetiller.limits._target_guard import SHED_CODES, TargetGuard
 
 __all__ = [
+    "RoomReport",
     "SHED_CODES",
     "RANKS_PER_CLASS",
     "AdditiveIncreaseLimitPolicy",
--- a/src/jujubetiller/limits/_fair_admission_queue.py
+++ b/src/jujubetiller/limits/_fair_admission_queue.py
@@ -12,10 +12,10 @@
 _Entries = collections.OrderedDict[_guard_entry.GuardEntry, None]
 
 
-FLOOR_INTERVAL = 8
-"""Each of this many starts is of a bucket other than the first: without it, calls of
+STARTS_PER_FLOOR_START = 8
+"""One of this many starts is of a bucket other than the first: without it, calls of
 less important requests that entry nodes admitted would fail after using other
-services."""
+services. Fewer starts in between would take more from the most important requests."""
 
 MAX_LATEST = 64
 """Buckets of which the latest start is known; others count as never served."""
@@ -24,11 +24,11 @@
 class FairAdmissionQueue(_admission_queue.AdmissionQueue):
     """Starts the oldest entry of each team in turn, within the first bucket.
 
-    Each ``FLOOR_INTERVAL``-th start is of another bucket instead, the one whose latest
-    start is longest ago: each of them would starve behind a full first bucket. For the
-    same reason, entries of the others may take as large a part of the queue. Beyond it,
-    a full queue evicts the newest entry of the team that has the most in the last
-    bucket.
+    Each ``STARTS_PER_FLOOR_START``-th start is of another bucket instead, the one whose
+    latest start is longest ago: each of them would starve behind a full first bucket.
+    For the same reason, entries of the others may take as large a part of the queue.
+    Beyond it, a full queue evicts the newest entry of the team that has the most in the
+    last bucket.
     """
 
     def __init__(self, capacity: int) -> None:
@@ -54,7 +54,7 @@
             return None
         self.starts += 1
         bucket = self.sorted_buckets[0]
-        if self.starts % FLOOR_INTERVAL == 0 and len(self.sorted_buckets) > 1:
+        if self.starts % STARTS_PER_FLOOR_START == 0 and len(self.sorted_buckets) > 1:
             bucket = self._choose_floor_bucket()
         self._record_start(bucket)
         teams = self.teams[bucket]
@@ -115,7 +115,7 @@
         lengths = {number: len(self.buckets[number]) for number in self.sorted_buckets}
         lengths[new_bucket] = lengths.get(new_bucket, 0) + 1
         first, *others = sorted(lengths)
-        reserved = self.capacity // FLOOR_INTERVAL
+        reserved = self.capacity // STARTS_PER_FLOOR_START
         if sum(lengths[number] for number in others) <= reserved:
             return first
         part = reserved / len(others)
--- a/src/jujubetiller/mesh/_ingress_call.py
+++ b/src/jujubetiller/mesh/_ingress_call.py
@@ -236,7 +236,8 @@
             answer.queue_delay_ms = self.parts.delays.read()
             answer.is_nested = self.is_nested()
             if self.parts.settings.features.placing == "room":
-                answer.room, answer.wait_ms = limits.read_room(self.parts.guard)
+                report = limits.read_room(self.parts.guard)
+                answer.room, answer.wait_ms = report.room, report.wait_ms
             if self.parts.admission is not None:
                 self.parts.admission.add_to_answer(self.request.kind, answer)
             self.parts.notices.add_to_answer(self.request.expected_instance, answer)
--- a/tests/limits/test_learned_limit_policy.py
+++ b/tests/limits/test_learned_limit_policy.py
@@ -178,8 +178,8 @@
     """Guards against reports of room that callers have filled already."""
     events = load_model.Events(1)
     target = load_model.Target(events, 2)
-    assert limits.read_room(target.guard) == (2, 0)
+    assert limits.read_room(target.guard) == limits.RoomReport(2, 0)
     target.guard.mean_run_ms = 10.0
     for _ in range(5):
         target.submit("", 10.0, lambda code: None)
-    assert limits.read_room(target.guard) == (-3, 20)
+    assert limits.read_room(target.guard) == limits.RoomReport(-3, 20)
--- a/tests/load_model.py
+++ b/tests/load_model.py
@@ -187,7 +187,8 @@
             reply = calls.make_refusal(code)
             if code is ANSWERED:
                 reply = calls.CallAnswer(codes.Outcome.ANSWERED, code, status=200)
-            reply.room, reply.wait_ms = limits.read_room(self.targets[name].guard)
+            report = limits.read_room(self.targets[name].guard)
+            reply.room, reply.wait_ms = report.room, report.wait_ms
             self.events.after(hop_ms, lambda: receive(reply))
 
         def receive(reply: calls.CallAnswer) -> None:
