Give samples and results of the rate fit classes

Calls were pairs and the result was a pair of mappings, and improve did not say what it refines. tests/admission/test_cost_estimator.py passes; it reads the classes, and checks the same.

--- a/src/jujubetiller/admission/_cost_estimator.py
+++ b/src/jujubetiller/admission/_cost_estimator.py
@@ -11,6 +11,7 @@
     _nested_calls,
     _rate_fit,
     _request_kind,
+    _weighted_call,
 )
 
 TIME_CONSTANT_MS = 15_000.0
@@ -236,17 +237,18 @@
             return
         fitted, names = _fit_sample.pool_kinds(exposures)
         events = [
-            (
+            _weighted_call.WeightedCall(
                 math.exp((event.at_ms - self.advanced_at_ms) / TIME_CONSTANT_MS),
                 _fit_sample.count_running(event.running, names),
             )
             for event in _fit_sample.thin_out(found.events, len(fitted))
         ]
         start = found.count / sum(exposures.values())
-        found.per_ms, found.errors = _rate_fit.improve(
+        fit = _rate_fit.refine_rates(
             {name: found.per_ms.get(name, start) for name in fitted},
             fitted,
             events,
             found.count,
         )
+        found.per_ms, found.errors = fit.rates, fit.errors
         found.errors.pop(_fit_sample.OTHER_KINDS, None)
--- a/src/jujubetiller/admission/_rate_fit.py
+++ b/src/jujubetiller/admission/_rate_fit.py
@@ -2,6 +2,12 @@
 
 import math
 
+import attrs
+
+from jujubetiller.admission import _weighted_call
+
+_WeightedCall = _weighted_call.WeightedCall
+
 OVERDISPERSION = 2.0
 """Calls of one request follow each other closely, so their number varies more than a
 Poisson process."""
@@ -15,21 +21,32 @@
 _RIDGE = 1e-9
 """Relative addition to the diagonal, which keeps the matrix invertible."""
 
-Events = list[tuple[float, dict[str, int]]]
-"""Calls as pairs of a weight and the numbers of running requests by kind."""
+
+@attrs.frozen
+class RateFit:
+    """Rates of calls by kind of the request, and how certain they are."""
+
+    rates: dict[str, float]
+    """Calls per running millisecond."""
+
+    errors: dict[str, float]
+    """Standard errors of the rates; infinite for kinds that cannot be distinguished."""
 
 
-def improve(
-    rates: dict[str, float], exposures: dict[str, float], events: Events, count: float
-) -> tuple[dict[str, float], dict[str, float]]:
-    """Return rates of greater likelihood, per running ms, and their standard errors.
+def refine_rates(
+    rates: dict[str, float],
+    exposures: dict[str, float],
+    events: list[_WeightedCall],
+    count: float,
+) -> RateFit:
+    """Return rates of greater likelihood and their standard errors.
 
     ``count`` is the number of calls that ``events`` are a sample of, ``exposures`` the
     running time by kind. A step of expectation maximisation, which approaches the
     maximum from everywhere but slowly, is followed by one of Newton's method, which
     needs few steps nearby. Kinds whose numbers rise and fall together get large errors.
     """
-    scale = count / sum(weight for weight, _ in events)
+    scale = count / sum(event.weight for event in events)
     sums = _sum_by_rate(rates, events)
     rates = {
         name: max(rate * sums[name] * scale / exposures[name], MIN_RATE_PER_MS)
@@ -42,7 +59,7 @@
     errors = {name: 1.0 / exposures[name] for name in rates}
     if inverse is None:
         errors |= dict.fromkeys(names, math.inf)
-        return rates, errors
+        return RateFit(rates, errors)
     gradient = [sums[name] - exposures[name] / scale for name in names]
     for index, name in enumerate(names):
         step = sum(a * b for a, b in zip(inverse[index], gradient, strict=True))
@@ -50,34 +67,36 @@
         rates[name] = max(min(max(rates[name] + step, low), high), MIN_RATE_PER_MS)
         variance = OVERDISPERSION * inverse[index][index]
         errors[name] = math.sqrt(variance) if variance >= 0.0 else math.inf
-    return rates, errors
+    return RateFit(rates, errors)
 
 
-def _sum_by_rate(rates: dict[str, float], events: Events) -> dict[str, float]:
+def _sum_by_rate(
+    rates: dict[str, float], events: list[_WeightedCall]
+) -> dict[str, float]:
     """Return, by kind, the sum of its running requests by the rate of all calls."""
     sums = dict.fromkeys(rates, 0.0)
-    for weight, running in events:
-        total = sum(n * rates.get(name, 0.0) for name, n in running.items())
+    for event in events:
+        total = sum(n * rates.get(name, 0.0) for name, n in event.running.items())
         if total > 0.0:
-            factor = weight / total
-            for name, number in running.items():
+            factor = event.weight / total
+            for name, number in event.running.items():
                 if name in sums:
                     sums[name] += factor * number
     return sums
 
 
 def _compute_information(
-    rates: dict[str, float], names: list[str], events: Events
+    rates: dict[str, float], names: list[str], events: list[_WeightedCall]
 ) -> list[list[float]]:
     """Return the observed information about the rates of ``names``."""
     positions = {name: index for index, name in enumerate(names)}
     matrix = [[0.0] * len(names) for _ in names]
-    for weight, running in events:
-        found = [(positions[n], m) for n, m in running.items() if n in positions]
+    for event in events:
+        found = [(positions[n], m) for n, m in event.running.items() if n in positions]
         total = sum(number * rates[names[index]] for index, number in found)
         if total <= 0.0:
             continue
-        factor = weight / (total * total)
+        factor = event.weight / (total * total)
         for i, first in found:
             row = matrix[i]
             for j, second in found:
--- a/src/jujubetiller/limits/__init__.py
+++ b/src/jujubetiller/limits/__init__.py
@@ -29,7 +29,6 @@
 from jujubetiller.limits._target_guard import SHED_CODES, TargetGuard
 
 __all__ = [
-    "RoomReport",
     "SHED_CODES",
     "RANKS_PER_CLASS",
     "AdditiveIncreaseLimitPolicy",
@@ -52,6 +51,7 @@
     "RateLimiter",
     "RateMeter",
     "RefusalLevel",
+    "RoomReport",
     "RunTimeEstimates",
     "TargetGuard",
     "build_guard",
--- a/tests/admission/test_cost_estimator.py
+++ b/tests/admission/test_cost_estimator.py
@@ -5,7 +5,7 @@
 import pytest
 
 from jujubetiller import admission, clock
-from jujubetiller.admission import _rate_fit
+from jujubetiller.admission import _rate_fit, _weighted_call
 
 STEP_MS = 2.0
 TRUE_CALLS = {"page": 6.0, "note": 2.0, "ping": 0.0}
@@ -134,19 +134,19 @@
     time_source = clock.ManualClock()
     estimator = admission.CostEstimator(time_source, random.Random(3))
     fits: list[tuple[int, int]] = []
-    improve = _rate_fit.improve
+    refine_rates = _rate_fit.refine_rates
 
     def record(
         rates: dict[str, float],
         exposures: dict[str, float],
-        events: _rate_fit.Events,
+        events: list[_weighted_call.WeightedCall],
         count: float,
-    ) -> tuple[dict[str, float], dict[str, float]]:
+    ) -> _rate_fit.RateFit:
         fits.append((len(rates), len(events)))
-        assert all(running.keys() <= rates.keys() for _, running in events)
-        return improve(rates, exposures, events, count)
+        assert all(event.running.keys() <= rates.keys() for event in events)
+        return refine_rates(rates, exposures, events, count)
 
-    monkeypatch.setattr(_rate_fit, "improve", record)
+    monkeypatch.setattr(_rate_fit, "refine_rates", record)
     for number in range(3_000):
         kind = f"kind-{number % 64 if number % 3 else 0}"
         estimator.record_start(kind)
