--- a/tests/limits/test_learned_limit_policy.py
+++ b/tests/limits/test_learned_limit_policy.py
@@ -170,7 +170,7 @@
     policy = limits.LearnedLimitPolicy(2, 10)
     for number in range(300):
         policy.record(limits.LatencySample(at_ms=number, run_ms=5.0, kind=str(number)))
-    assert len(policy.baselines.by_kind) <= 257
+    assert len(policy.averages.baselines.by_kind) <= 257
     assert policy.read_values()["kinds_over_bound"] > 0
 
 
@@ -178,11 +178,11 @@
     """Guards against reports of room that callers have filled already."""
     events = load_model.Events(1)
     target = load_model.Target(events, 2)
-    assert limits.read_room(target.guard) == (2, 0)
+    assert limits.read_room(target.guard) == limits.RoomReport(2, 0)
     target.guard.mean_run_ms = 10.0
     for _ in range(5):
         target.submit("", 10.0, lambda code: None)
-    assert limits.read_room(target.guard) == (-3, 20)
+    assert limits.read_room(target.guard) == limits.RoomReport(-3, 20)
 
 
 def test_a_trial_of_a_lower_limit_does_not_change_the_reported_room() -> None:
@@ -204,6 +204,6 @@
             break
     assert policy.current_limit() < limit
     guard.limit = policy.current_limit()
-    assert limits.read_room(guard) == (limit, 0)
+    assert limits.read_room(guard) == limits.RoomReport(limit, 0)
     guard.set_slots(5)
-    assert limits.read_room(guard)[0] <= 5
+    assert limits.read_room(guard).room <= 5
