--- a/src/jujubetiller/mesh/_egress_site.py
+++ b/src/jujubetiller/mesh/_egress_site.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable
 
 from jujubetiller import calls, codes, edge, routes
-from jujubetiller.mesh import _egress_call, _entry_checks, _mesh_parts, _replies
+from jujubetiller.mesh import (
+    _egress_call,
+    _entry_request,
+    _entry_run,
+    _mesh_parts,
+    _replies,
+)
 
 _MAX_DEADLINE_DIGITS = 9
 
@@ -23,7 +29,7 @@
         """Return the answer to a request that the listener refuses."""
         return _replies.render_refusal(code, detail, self.parts.random)
 
-    def refuse_entry(self, refusal: _entry_checks.EntryRefusal) -> edge.EdgeReply:
+    def refuse_entry(self, refusal: _entry_request.EntryRefusal) -> edge.EdgeReply:
         """Return the answer to a request that a check refuses."""
         return _replies.render_refusal(
             refusal.code, refusal.detail, self.parts.random, refusal.pause
@@ -35,9 +41,9 @@
         reply: Callable[[edge.EdgeReply], None],
     ) -> Callable[[], None]:
         """Start the call of a request, or refuse it."""
-        run = _entry_checks.EntryRun(
+        run = _entry_run.EntryRun(
             self.parts,
-            _entry_checks.EntryRequest(message),
+            _entry_request.EntryRequest(message),
             functools.partial(self.admit, reply),
             lambda refusal: reply(self.refuse_entry(refusal)),
         )
@@ -47,7 +53,7 @@
     def admit(
         self,
         reply: Callable[[edge.EdgeReply], None],
-        entry: _entry_checks.EntryRequest,
+        entry: _entry_request.EntryRequest,
     ) -> Callable[[], None]:
         """Start the call of a request that passed the checks."""
         message, route, throttle = entry.message, entry.route, entry.throttle
--- a/tests/mesh/test_keys.py
+++ b/tests/mesh/test_keys.py
@@ -12,7 +12,14 @@
 import pytest
 
 from jujubetiller import calls, clock, codes, edge
-from jujubetiller.mesh import _entry_checks, _key_check, _request
+from jujubetiller.mesh import (
+    _entry_checks,
+    _entry_request,
+    _entry_run,
+    _key_check,
+    _pending_verdict,
+    _request,
+)
 from standins.mesh_site import documents
 from tests.mesh import local_mesh
 
@@ -308,7 +315,7 @@
 
 def test_a_check_may_answer_later() -> None:
     """Guards against requests that run twice, or after their client has left."""
-    refused_late = _entry_checks.EntryRefusal(_Code.NOT_READY)
+    refused_late = _entry_request.EntryRefusal(_Code.NOT_READY)
     cases = (
         (None, False, False),
         (None, True, False),
@@ -318,7 +325,7 @@
     )
     for refusal, is_cancelled, is_early in cases:
         world = KeyMesh()
-        later = _entry_checks.LaterVerdict()
+        later = _pending_verdict.PendingVerdict()
         checks = (*_entry_checks.CHECKS, lambda parts, entry, later=later: later)
         admitted: list[Any] = []
         refused: list[Any] = []
@@ -329,21 +336,21 @@
             {},
             b"",
         )
-        run = _entry_checks.EntryRun(
+        run = _entry_run.EntryRun(
             world.parts,
-            _entry_checks.EntryRequest(message),
+            _entry_request.EntryRequest(message),
             lambda entry, admitted=admitted: admitted.append(entry) or edge.do_nothing,
             refused.append,
             checks,
         )
         if is_early:
-            later.give(refusal)
+            later.resolve(refusal)
         run.advance()
         assert bool(admitted or refused) == is_early
         if is_cancelled:
             run.cancel()
-        later.give(refusal)
-        later.give(refusal)
+        later.resolve(refusal)
+        later.resolve(refusal)
         assert len(admitted) == (refusal is None and not is_cancelled)
         assert len(refused) == (refusal is not None)
         # What cancels a request may be kept for long after its body is not counted.
