--- a/src/jujubetiller/platform/_listing.py
+++ b/src/jujubetiller/platform/_listing.py
@@ -35,7 +35,10 @@
         self.revision = min(self.revision, as_of) if self.has_pages else as_of
         self.has_pages = True
         if as_of.epoch != self.revision.epoch:
-            return "its pages are from two histories"
+            return (
+                "its pages are from two histories of the store, which was restored "
+                "meanwhile"
+            )
         self.is_whole = not answer.page.get("truncated") or not rows.last_key
         self.query["after"] = rows.last_key
         return None
--- a/src/jujubetiller/platform/_teams.py
+++ b/src/jujubetiller/platform/_teams.py
@@ -61,11 +61,16 @@
         return frozenset()
     is_list = isinstance(values, list)
     if not is_list or not all(isinstance(value, str) and value for value in values):
-        raise schema.FieldError(f"tenants.{name}", "allowed are non-empty texts")
+        raise schema.FieldError(
+            f"tenants.{name}", "allowed is a list of non-empty texts"
+        )
     if name == KEYS:
         return frozenset(map(teams.digest_key, values))
     if not all(map(_DIGEST.fullmatch, values)):
-        raise schema.FieldError(f"tenants.{name}", "allowed are SHA-256 digests")
+        raise schema.FieldError(
+            f"tenants.{name}",
+            "allowed is a list of SHA-256 digests of 64 lower-case hexadecimal digits",
+        )
     return frozenset(map(bytes.fromhex, values))
 
 
