Say in log lines and quota errors what happened and where

'memory account is short' and 'keys are not current' named an internal object rather than the effect: the lines now say that requests are refused. A quota answer that is rejected names the host that was asked, and errors in quota messages name the field, its allowed values and what was received.

--- a/src/jujubetiller/mesh/_key_check.py
+++ b/src/jujubetiller/mesh/_key_check.py
@@ -28,6 +28,9 @@
 CLOCK_TOLERANCE = 0.98
 """Part of a time that counts: the clock of the store may run faster."""
 
+LOG_REFUSED = "API keys refused: the node's copy of the store is too old"
+LOG_ACCEPTED = "API keys accepted again"
+
 _SCHEME = "bearer"
 _BLANKS = " \t"
 
@@ -121,8 +124,10 @@
             },
         )
 
-    def note_age(self, configuration: routes.Configuration | None) -> None:
-        """Log if known keys are refused since a while, or accepted again."""
+    def log_age_change(self, configuration: routes.Configuration | None) -> None:
+        """Log when requests with known keys start to be refused, and when they are
+        accepted again.
+        """
         if configuration is None or not configuration.team_table:
             return
         age_ms = self.state_age.age_ms()
@@ -131,7 +136,7 @@
             return
         self.are_current = are_current
         _LOG.warning(
-            "keys are current again" if are_current else "keys are not current",
+            LOG_ACCEPTED if are_current else LOG_REFUSED,
             extra={
                 "age_ms": describe_age(age_ms),
                 "longest_age_ms": self._longest_age_ms(),
@@ -147,7 +152,7 @@
             return result.Err(self._refuse_unknown("unknown_key"))
         if self._is_too_old(self.state_age.age_ms()):
             self.refused["keys_not_current"] += 1
-            self.note_age(configuration)
+            self.log_age_change(configuration)
             return result.Err(_Code.KEYS_NOT_CURRENT)
         return result.Ok(KeyHolder(team, digest))
 
--- a/src/jujubetiller/mesh/_memory_watch.py
+++ b/src/jujubetiller/mesh/_memory_watch.py
@@ -22,8 +22,11 @@
         self.parts = parts
         self.account = parts.account
         self.relief = memory.Relief(self.account)
-        self.logged = (0, 0)
-        """The numbers of refusals and closed connections at the latest line."""
+        self.logged_refused = 0
+        """Refused requests up to the latest line."""
+
+        self.logged_closed = 0
+        """Closed connections up to the latest line."""
 
         self.logged_at_ms = 0.0
 
@@ -49,21 +52,24 @@
     def log_if_due(self) -> None:
         """Log how many requests and connections the account has ended since."""
         account = self.account
-        counted = (account.refused, account.closed)
+        refused = account.refused - self.logged_refused
+        closed = account.closed - self.logged_closed
         now_ms = account.clock.now_ms()
-        if counted == self.logged or now_ms < self.logged_at_ms + LOG_INTERVAL_MS:
+        is_due = now_ms >= self.logged_at_ms + LOG_INTERVAL_MS
+        if not is_due or not (refused or closed):
             return
         _LOG.warning(
-            "memory account is short",
+            "requests refused or connections closed for lack of memory",
             extra={
-                "refused": counted[0] - self.logged[0],
-                "closed": counted[1] - self.logged[1],
+                "refused": refused,
+                "closed": closed,
                 "holders": len(account.holders),
                 "oldest_ms": account.oldest_age_ms(),
                 **account.read_bytes(),
             },
         )
-        self.logged, self.logged_at_ms = counted, now_ms
+        self.logged_refused, self.logged_closed = account.refused, account.closed
+        self.logged_at_ms = now_ms
 
 
 def make_groups(account: memory.MemoryAccount) -> list[metrics.CounterGroup]:
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -273,7 +273,7 @@
         if self.store_stability.have_entries_expired():
             self.state.release_removals()
         self.load_log.write_if_due()
-        self.parts.keys.note_age(self.parts.configuration.current)
+        self.parts.keys.log_age_change(self.parts.configuration.current)
 
     def reload(self, node_settings: settings.MeshSettings) -> None:
         """Apply changed settings; the addresses of the listeners do not change."""
--- a/src/jujubetiller/mesh/_quota_exchange.py
+++ b/src/jujubetiller/mesh/_quota_exchange.py
@@ -170,7 +170,11 @@
             decoded = _quota_message.decode_answer(answer.body)
             if isinstance(decoded, result.Err):
                 self.rounds.counters.rejected += 1
-                _LOG.warning("quota answer rejected: {}", decoded.err_value)
+                _LOG.warning(
+                    "quota answer rejected: {}",
+                    decoded.err_value,
+                    extra={"host": host},
+                )
                 answered(None)
                 return
             answered(decoded.ok_value)
--- a/src/jujubetiller/mesh/_quota_message.py
+++ b/src/jujubetiller/mesh/_quota_message.py
@@ -67,20 +67,21 @@
 def decode_question(body: bytes) -> result.Result[quotas.Question, codes.Problem]:
     """Return the question in ``body``."""
     try:
-        sender, boot, number, version, is_from_zone, delegation, rows = msgpack.unpackb(
-            body
-        )
+        fields = _split_row("question", msgpack.unpackb(body), 7)
+        sender, boot, number, version, is_from_zone, delegation, rows = fields
         if type(is_from_zone) is not bool:
-            raise TypeError("allowed is bool")
+            raise TypeError(
+                f"is_from_zone: allowed are true and false, got {is_from_zone!r:.80}"
+            )
         return result.Ok(
             quotas.Question(
-                _check_name(sender),
-                _check_number(boot, MAX_NUMBER),
-                _check_number(number, MAX_NUMBER),
-                _check_number(version, MAX_NUMBER),
+                _check_name("sender", sender),
+                _check_number("boot", boot, MAX_NUMBER),
+                _check_number("number", number, MAX_NUMBER),
+                _check_number("version", version, MAX_NUMBER),
                 is_from_zone,
                 None if delegation is None else _decode_delegation(delegation),
-                tuple(_decode_demand(row) for row in _check_rows(rows, MAX_ROWS)),
+                tuple(map(_decode_demand, _check_rows("demands", rows, MAX_ROWS))),
             )
         )
     except (ValueError, TypeError) as error:
@@ -90,15 +91,16 @@
 def decode_answer(body: bytes) -> result.Result[quotas.Answer, codes.Problem]:
     """Return the answer in ``body``."""
     try:
-        number, boot, stamp_ms, version, rows = msgpack.unpackb(body)
+        fields = _split_row("answer", msgpack.unpackb(body), 5)
+        number, boot, stamp_ms, version, rows = fields
         # Each demand can get two grants: one before other zones have lent tokens.
         return result.Ok(
             quotas.Answer(
-                _check_number(number, MAX_NUMBER),
-                _check_number(boot, MAX_NUMBER),
-                float(_check_number(stamp_ms, MAX_TIME_MS)),
-                _check_number(version, MAX_NUMBER),
-                tuple(_decode_grant(row) for row in _check_rows(rows, 2 * MAX_ROWS)),
+                _check_number("number", number, MAX_NUMBER),
+                _check_number("boot", boot, MAX_NUMBER),
+                float(_check_number("stamp_ms", stamp_ms, MAX_TIME_MS)),
+                _check_number("version", version, MAX_NUMBER),
+                tuple(map(_decode_grant, _check_rows("grants", rows, 2 * MAX_ROWS))),
             )
         )
     except (ValueError, TypeError) as error:
@@ -106,33 +108,35 @@
 
 
 def _decode_delegation(row: Any) -> quotas.Delegation:
-    share, stamp_ms, boot, life_ms = row
+    share, stamp_ms, boot, life_ms = _split_row("delegation", row, 4)
     if type(share) is not float or not 0.0 < share <= 1.0:
-        raise ValueError(f"allowed are shares from 0 to 1, got {share!r:.80}")
+        raise ValueError(
+            f"share: allowed are numbers above 0 and up to 1, got {share!r:.80}"
+        )
     return quotas.Delegation(
         share,
-        float(_check_number(stamp_ms, MAX_TIME_MS)),
-        _check_number(boot, MAX_NUMBER),
-        float(_check_number(life_ms, MAX_TIME_MS)),
+        float(_check_number("stamp_ms", stamp_ms, MAX_TIME_MS)),
+        _check_number("stamp_boot", boot, MAX_NUMBER),
+        float(_check_number("life_ms", life_ms, MAX_TIME_MS)),
     )
 
 
 def _decode_demand(row: Any) -> quotas.Demand:
-    team, needed, wanted = row
+    team, needed, wanted = _split_row("demands", row, 3)
     return quotas.Demand(
-        _check_name(team),
-        _check_number(needed, MAX_AMOUNT) / _THOUSAND,
-        _check_number(wanted, MAX_AMOUNT) / _THOUSAND,
+        _check_name("team", team),
+        _check_number("needed", needed, MAX_AMOUNT) / _THOUSAND,
+        _check_number("wanted", wanted, MAX_AMOUNT) / _THOUSAND,
     )
 
 
 def _decode_grant(row: Any) -> quotas.Grant:
-    team, amount, left_ms, wait_ms = row
+    team, amount, left_ms, wait_ms = _split_row("grants", row, 4)
     return quotas.Grant(
-        _check_name(team),
-        _check_number(amount, MAX_AMOUNT) / _THOUSAND,
-        float(_check_number(left_ms, MAX_TIME_MS)),
-        float(_check_number(wait_ms, MAX_TIME_MS)),
+        _check_name("team", team),
+        _check_number("amount", amount, MAX_AMOUNT) / _THOUSAND,
+        float(_check_number("left_ms", left_ms, MAX_TIME_MS)),
+        float(_check_number("wait_ms", wait_ms, MAX_TIME_MS)),
     )
 
 
@@ -140,23 +144,36 @@
     return min(MAX_AMOUNT, math.floor(amount * _THOUSAND + 1e-6))
 
 
-def _check_number(value: Any, highest: int) -> int:
+def _check_number(field: str, value: Any, highest: int) -> int:
     if type(value) is not int or not 0 <= value <= highest:
-        raise ValueError(f"allowed are numbers up to {highest}, got {value!r:.80}")
+        raise ValueError(
+            f"{field}: allowed are whole numbers from 0 to {highest}, got {value!r:.80}"
+        )
     return value
 
 
-def _check_name(value: Any) -> str:
+def _check_name(field: str, value: Any) -> str:
     if type(value) is not str or not 0 < len(value) <= MAX_NAME_LENGTH:
-        raise ValueError(f"allowed are names of up to {MAX_NAME_LENGTH} characters")
+        raise ValueError(
+            f"{field}: allowed are texts of 1 to {MAX_NAME_LENGTH} characters, "
+            f"got {value!r:.80}"
+        )
     return value
 
 
-def _check_rows(value: Any, longest: int) -> Iterable[Any]:
+def _check_rows(field: str, value: Any, longest: int) -> Iterable[Any]:
     if type(value) is not list or len(value) > longest:
-        raise ValueError(f"allowed are lists of up to {longest} rows")
+        raise ValueError(
+            f"{field}: allowed are lists of up to {longest} rows, got {value!r:.80}"
+        )
     return value
 
 
+def _split_row(field: str, row: Any, size: int) -> list[Any]:
+    if type(row) is not list or len(row) != size:
+        raise ValueError(f"{field}: allowed are rows of {size} fields, got {row!r:.80}")
+    return row
+
+
 def _describe(error: Exception) -> codes.Problem:
     return codes.Problem(codes.ResultCode.BAD_FRAME, "quota", str(error)[:160])
--- a/tests/mesh/test_keys.py
+++ b/tests/mesh/test_keys.py
@@ -300,11 +300,11 @@
         world.set_age(BOUND_MS)
         world.ask(bearer(KEY))
         world.set_age(0.0)
-        world.parts.keys.note_age(world.parts.configuration.current)
+        world.parts.keys.log_age_change(world.parts.configuration.current)
         world.publish_teams(14, [{"name": "kitchen", "api_keys": [OTHER_KEY]}])
     lines = [record.message for record in handler.records]
-    assert "keys are not current" in lines
-    assert "keys are current again" in lines
+    assert "API keys refused: the node's copy of the store is too old" in lines
+    assert "API keys accepted again" in lines
     assert "keys of teams changed" in lines
     text = repr([(record.message, record.extra) for record in handler.records])
     text += world.parts.metrics.render().decode()
