Give the parts of the quotas exact names and one place for each rule

They are now NodeQuota.expiry_ms, DecayingDemand and _precision. Answering and ShareUse become QuestionHandler and ShareHolder. Constants are named for what they bound and give their reasons. TeamLimit.covered_ms derives its default from QuotaSettings, and so does the bound that bench/quota_fleet.py checks.

No behaviour changes. tests/quotas, tests/mesh/test_quotas.py and test_quota_messages.py pass; tests/quotas/test_parts.py uses the new names.

--- a/bench/quota_fleet.py
+++ b/bench/quota_fleet.py
@@ -206,8 +206,10 @@
         """Change rates and bursts; nodes learn it within ``CONFIGURATION_MS``."""
         self.version += 1
         self.teams = dict(teams)
-        for team, (rate, burst) in teams.items():
-            bound = (rate * 5.0 + burst) * 1.25 + 20.0
+        for team, (rate_per_s, burst) in teams.items():
+            window_s = QUOTA.window_ms / 1000.0
+            expected = rate_per_s * window_s + burst
+            bound = expected * (1.0 + QUOTA.overshoot) + QUOTA.slack
             self.bounds[team].append((self.now_ms, bound))
         for process in self.processes.values():
             delay_ms = self.random.uniform(0.0, CONFIGURATION_MS)
@@ -215,8 +217,8 @@
 
     def configure(self, process: Process) -> None:
         limits = {
-            team: quotas.derive_limit(rate, burst, QUOTA)
-            for team, (rate, burst) in self.teams.items()
+            team: quotas.derive_limit(rate_per_s, burst, QUOTA)
+            for team, (rate_per_s, burst) in self.teams.items()
         }
         process.rounds.configure(limits, self.version)
 
--- a/src/jujubetiller/mesh/_quota_message.py
+++ b/src/jujubetiller/mesh/_quota_message.py
@@ -22,8 +22,6 @@
 MAX_NUMBER = 2**64 - 1
 """Versions of configurations have up to 16 hexadecimal digits."""
 
-_THOUSAND = 1_000.0
-
 
 def encode_question(question: quotas.Question) -> bytes:
     """Return the body of a question; teams beyond ``MAX_ROWS`` are left out."""
@@ -33,7 +31,7 @@
         stamp_ms, life_ms = math.floor(given.stamp_ms), math.floor(given.life_ms)
         delegation = [given.share, stamp_ms, given.stamp_boot, life_ms]
     demands = [
-        [demand.team, _thousandths(demand.needed), _thousandths(demand.wanted)]
+        [demand.team, _encode_amount(demand.needed), _encode_amount(demand.wanted)]
         for demand in question.demands[:MAX_ROWS]
     ]
     fields = [
@@ -53,7 +51,7 @@
     grants = [
         [
             grant.team,
-            _thousandths(grant.amount),
+            _encode_amount(grant.amount),
             max(0, math.floor(grant.left_ms)),
             math.ceil(grant.wait_ms),
         ]
@@ -125,8 +123,8 @@
     team, needed, wanted = _split_row("demands", row, 3)
     return quotas.Demand(
         _check_name("team", team),
-        _check_number("needed", needed, MAX_AMOUNT) / _THOUSAND,
-        _check_number("wanted", wanted, MAX_AMOUNT) / _THOUSAND,
+        _decode_amount("needed", needed),
+        _decode_amount("wanted", wanted),
     )
 
 
@@ -134,14 +132,18 @@
     team, amount, left_ms, wait_ms = _split_row("grants", row, 4)
     return quotas.Grant(
         _check_name("team", team),
-        _check_number("amount", amount, MAX_AMOUNT) / _THOUSAND,
+        _decode_amount("amount", amount),
         float(_check_number("left_ms", left_ms, MAX_TIME_MS)),
         float(_check_number("wait_ms", wait_ms, MAX_TIME_MS)),
     )
 
 
-def _thousandths(amount: float) -> int:
-    return min(MAX_AMOUNT, math.floor(amount * _THOUSAND + 1e-6))
+def _encode_amount(amount: float) -> int:
+    return min(MAX_AMOUNT, quotas.count_wire_units(amount))
+
+
+def _decode_amount(field: str, value: Any) -> float:
+    return quotas.read_wire_units(_check_number(field, value, MAX_AMOUNT))
 
 
 def _check_number(field: str, value: Any, highest: int) -> int:
--- a/src/jujubetiller/quotas/__init__.py
+++ b/src/jujubetiller/quotas/__init__.py
@@ -2,12 +2,20 @@
 
 from jujubetiller.quotas._coordinator import Coordinator
 from jujubetiller.quotas._delegations import Delegations
-from jujubetiller.quotas._fleet_share import FleetShare
-from jujubetiller.quotas._messages import Answer, Delegation, Demand, Grant, Question
+from jujubetiller.quotas._fleet_share import FleetShare, ShareLease
+from jujubetiller.quotas._messages import (
+    Answer,
+    Delegation,
+    Demand,
+    Grant,
+    Question,
+    Sender,
+)
 from jujubetiller.quotas._node_quota import NodeQuota
+from jujubetiller.quotas._precision import count_wire_units, read_wire_units
 from jujubetiller.quotas._quota_counters import QuotaCounters
 from jujubetiller.quotas._quota_rounds import QuotaRounds
-from jujubetiller.quotas._share_use import ShareUse
+from jujubetiller.quotas._share_holder import ShareHolder
 from jujubetiller.quotas._team_limit import (
     DELEGATION_MS,
     KNOWLEDGE_MS,
@@ -40,12 +48,16 @@
     "QuotaCounters",
     "QuotaRounds",
     "Refusal",
-    "ShareUse",
+    "Sender",
+    "ShareHolder",
+    "ShareLease",
     "TeamLimit",
     "Token",
     "TokenBucket",
     "TokenLots",
     "Transport",
     "WaitingRequests",
+    "count_wire_units",
     "derive_limit",
+    "read_wire_units",
 ]
--- a/src/jujubetiller/quotas/_borrowing.py
+++ b/src/jujubetiller/quotas/_borrowing.py
@@ -12,20 +12,30 @@
     _coordinator_choice,
     _messages,
     _node_quota,
+    _precision,
     _quota_counters,
     _team_limit,
     _transport,
 )
 
-ZONES_ASKED = (3, 8)
-"""Zones asked at first, and then for what these did not have."""
+FIRST_PASS_ZONES = 3
+"""Zones asked at first."""
 
-PASS_MS = 30.0
+SECOND_PASS_ZONES = 8
+"""Zones asked for what those of the first pass did not have."""
+
+PASS_TIMEOUT_MS = 30.0
 """Time for the answers to each of the two passes; requests wait for 100 ms at most."""
 
-QUIET_MS = 50.0
+BORROW_PAUSE_MS = 50.0
 """Pause after other zones had nothing to lend of a team's tokens."""
 
+ROUNDS_AHEAD = 1.5
+"""Rounds for whose expected demand each round borrows."""
+
+MIN_DEMAND = 2.0
+"""Expected demand, in tokens, below which none are borrowed in advance."""
+
 Asker = Callable[
     [
         str,
@@ -73,10 +83,12 @@
         """Borrow what the own zone is expected to need beyond what is at hand."""
         missing = {}
         for team in list(self.coordinator.demands):
-            expected = self.coordinator.expected(team, 1.5 * _team_limit.ROUND_MS)
-            if expected < 2.0:
+            expected = self.coordinator.expected_demand(
+                team, ROUNDS_AHEAD * _team_limit.ROUND_MS
+            )
+            if expected < MIN_DEMAND:
                 continue
-            lacking = expected - self.coordinator.stock(team)
+            lacking = expected - self.coordinator.available_tokens(team)
             if lacking >= 1.0:
                 missing[team] = lacking
         if missing:
@@ -88,43 +100,43 @@
         targets = {}
         for team, amount in missing.items():
             if now_ms >= self.quiet_until_ms.get(team, -math.inf):
-                soon = self.coordinator.expected(team, _team_limit.ROUND_MS)
-                more = soon if soon >= 2.0 else 0.0
-                targets[team] = self.coordinator.stock(team) + amount + more
+                soon = self.coordinator.expected_demand(team, _team_limit.ROUND_MS)
+                more = soon if soon >= MIN_DEMAND else 0.0
+                targets[team] = self.coordinator.available_tokens(team) + amount + more
         hosts = self.choice.others(self.zone)
         if not targets or not hosts:
             done()
             return
         self.random.shuffle(hosts)
-        first, rest = hosts[: ZONES_ASKED[0]], hosts[ZONES_ASKED[0] :]
-        gave_all: list[str] = []
+        first, rest = hosts[:FIRST_PASS_ZONES], hosts[FIRST_PASS_ZONES:]
+        hosts_with_surplus: list[str] = []
 
         def second_pass() -> None:
-            others = [*gave_all, *rest][: ZONES_ASKED[1]]
+            others = [*hosts_with_surplus, *rest][:SECOND_PASS_ZONES]
             self._ask_all(others, targets, [], functools.partial(finish, done))
 
         def finish(done: Callable[[], None]) -> None:
             now_ms = self.coordinator.clock.now_ms()
             for team, target in targets.items():
-                if self.coordinator.stock(team) < target - 1.0:
-                    self.quiet_until_ms[team] = now_ms + QUIET_MS
+                if self.coordinator.available_tokens(team) < target - 1.0:
+                    self.quiet_until_ms[team] = now_ms + BORROW_PAUSE_MS
             done()
 
-        self._ask_all(first, targets, gave_all, second_pass)
+        self._ask_all(first, targets, hosts_with_surplus, second_pass)
 
     def _ask_all(
         self,
         hosts: list[str],
         targets: Mapping[str, float],
-        gave_all: list[str],
+        hosts_with_surplus: list[str],
         done: Callable[[], None],
     ) -> None:
         """Ask each of ``hosts`` for its part of what is missing up to the targets."""
         demands = []
         for team, target in targets.items():
-            lacking = target - self.coordinator.stock(team)
-            if lacking > 1e-6 and hosts:
-                part = math.ceil(lacking / len(hosts) * 1000.0) / 1000.0
+            lacking = target - self.coordinator.available_tokens(team)
+            if lacking > _precision.TOLERANCE and hosts:
+                part = _precision.round_up(lacking / len(hosts))
                 demands.append(_messages.Demand(team, part, 0.0))
         if not demands:
             done()
@@ -137,7 +149,7 @@
                 cancel()
                 ended()
 
-        cancel = self.transport.call_later(PASS_MS, end)
+        cancel = self.transport.call_later(PASS_TIMEOUT_MS, end)
 
         def answered(
             host: str, answer: _messages.Answer | None, sent_ms: float
@@ -145,8 +157,9 @@
             state.unanswered.discard(host)
             if answer is not None:
                 amount = self._add(answer, sent_ms)
-                if amount >= sum(demand.needed for demand in demands) - 1e-6:
-                    gave_all.append(host)
+                needed = sum(demand.needed for demand in demands)
+                if amount >= needed - _precision.TOLERANCE:
+                    hosts_with_surplus.append(host)
             if not state.unanswered:
                 end()
 
@@ -156,11 +169,9 @@
     def _add(self, answer: _messages.Answer, sent_ms: float) -> float:
         added = 0.0
         for grant in answer.grants:
-            if answer.version >= self.node.lowered.get(grant.team, 0):
-                left_ms = min(grant.left_ms, _team_limit.TOKEN_LIFE_MS)
-                self.coordinator.add_borrowed(
-                    grant.team, grant.amount, sent_ms + left_ms
-                )
+            expires_ms = self.node.expiry_ms(grant, sent_ms, answer.version)
+            if expires_ms is not None:
+                self.coordinator.add_borrowed(grant.team, grant.amount, expires_ms)
                 added += grant.amount
         self.counters.borrowed += added
         return added
--- a/src/jujubetiller/quotas/_coordinator.py
+++ b/src/jujubetiller/quotas/_coordinator.py
@@ -3,47 +3,30 @@
 import math
 from collections.abc import Iterable, Mapping
 
-import attrs
-
 from jujubetiller import clock
 from jujubetiller.quotas import (
     _burst_pool,
+    _decaying_demand,
     _delegations,
     _lowest_share,
     _messages,
+    _precision,
     _team_limit,
     _token_bucket,
     _token_lots,
 )
 
-DEMAND_MS = 2_000.0
-"""Time over which the demand for a team's tokens is averaged."""
-
-KEPT_MS = 100.0
-"""A coordinator keeps what its own zone is expected to need for this long."""
+RESERVE_MS = 100.0
+"""A coordinator lends only what exceeds the expected demand of its own zone in this
+time."""
 
-PREFETCH_PART = 0.75
+PREFETCH_THRESHOLD = 0.75
 """Tokens for requests to come are granted only from what is above this part of the
 bucket: they expire if they are not used, which matters to a team near its limit."""
 
 MAX_WAIT_MS = 60_000.0
 
 
-@attrs.define
-class _Demand:
-    """An average that decays, of tokens that were asked for."""
-
-    asked: float = 0.0
-    at_ms: float = 0.0
-
-    def add(self, amount: float, now_ms: float) -> None:
-        self.asked = self.per_ms(now_ms) * DEMAND_MS + amount
-        self.at_ms = now_ms
-
-    def per_ms(self, now_ms: float) -> float:
-        return self.asked * math.exp((self.at_ms - now_ms) / DEMAND_MS) / DEMAND_MS
-
-
 class Coordinator:
     """The buckets of all teams, filled by the sum of the shares that are in use.
 
@@ -65,14 +48,16 @@
         """Pools of teams without a limit, until no window holds what they granted."""
 
         self.borrowed: dict[str, _token_lots.TokenLots] = {}
-        self.demands: dict[str, _Demand] = {}
+        self.demands: dict[str, _decaying_demand.DecayingDemand] = {}
 
     def configure(
         self, limits: Mapping[str, _team_limit.TeamLimit], lowered: Iterable[str]
     ) -> None:
         """Apply the limits in force; ``lowered`` are the teams whose limit fell."""
         now_ms = self.advance()
-        self._cover({limit.covered_ms for limit in limits.values()}, now_ms)
+        self._keep_lowest_shares(
+            {limit.covered_ms for limit in limits.values()}, now_ms
+        )
         for team, limit in limits.items():
             bucket = self.buckets.get(team)
             if bucket is None:
@@ -108,7 +93,7 @@
         return now_ms
 
     def record_share(
-        self, sender: tuple[str, int], number: int, share: float, until_ms: float
+        self, sender: _messages.Sender, number: int, share: float, until_ms: float
     ) -> None:
         """Use ``share`` of ``sender`` until ``until_ms``."""
         now_ms = self.advance()
@@ -116,14 +101,14 @@
         self.delegations.record(sender, number, share, until_ms, now_ms)
         self._settle_after_change(before)
 
-    def remove_share(self, sender: tuple[str, int]) -> None:
+    def remove_share(self, sender: _messages.Sender) -> None:
         """Use the share of ``sender`` no more."""
         self.advance()
         before = self.delegations.total
         self.delegations.remove(sender)
         self._settle_after_change(before)
 
-    def stock(self, team: str) -> float:
+    def available_tokens(self, team: str) -> float:
         """Return the tokens at hand, borrowed ones included."""
         now_ms = self.advance()
         bucket = self.buckets.get(team)
@@ -141,26 +126,26 @@
     def record_demand(self, team: str, amount: float) -> None:
         """Record that nodes of the own zone asked for ``amount`` tokens."""
         if team in self.buckets and amount > 0.0:
-            demand = self.demands.setdefault(team, _Demand())
+            demand = self.demands.setdefault(team, _decaying_demand.DecayingDemand())
             demand.add(amount, self.clock.now_ms())
 
-    def expected(self, team: str, within_ms: float) -> float:
+    def expected_demand(self, team: str, within_ms: float) -> float:
         """Return the tokens that the own zone is expected to need in that time."""
         demand = self.demands.get(team)
         return demand.per_ms(self.clock.now_ms()) * within_ms if demand else 0.0
 
     def grant_to_node(self, demand: _messages.Demand) -> _messages.Grant:
         """Grant whole tokens: those that are needed first, then from the surplus."""
-        stock = self.stock(demand.team)
+        stock = self.available_tokens(demand.team)
         bucket = self.buckets.get(demand.team)
         if bucket is None:
             # This node has not got the configuration yet that the other one has.
             return _messages.Grant(demand.team, 0.0, 0.0, _team_limit.ROUND_MS)
-        whole = math.floor(stock + 1.0 - _token_lots.WHOLE)
+        whole = math.floor(stock + _precision.TOLERANCE)
         amount = min(math.ceil(demand.needed), whole)
         size = bucket.limit.depth * self.delegations.total
         size += bucket.limit.pool * self._lowest_share(bucket)
-        surplus = math.floor(stock - amount - PREFETCH_PART * size)
+        surplus = math.floor(stock - amount - PREFETCH_THRESHOLD * size)
         amount += max(0, min(math.floor(demand.wanted), surplus))
         return self._take(demand, float(amount))
 
@@ -171,10 +156,10 @@
         if bucket is None:
             return _messages.Grant(demand.team, 0.0, 0.0, _team_limit.ROUND_MS)
         # Borrowed tokens are not lent on: two zones would lend them to each other.
-        spare = self._available(bucket) - self.expected(demand.team, KEPT_MS)
+        spare = self._available(bucket) - self.expected_demand(demand.team, RESERVE_MS)
         wanted = max(0.0, min(demand.needed, spare))
         amount = bucket.take(wanted, self._lowest_share(bucket), now_ms)
-        amount = math.floor(amount * 1000.0) / 1000.0
+        amount = _precision.round_down(amount)
         return _messages.Grant(demand.team, amount, _team_limit.TOKEN_LIFE_MS, 0.0)
 
     def wait_ms(self, team: str, missing: float) -> float:
@@ -214,7 +199,7 @@
     def _lowest_share(self, bucket: _token_bucket.TokenBucket) -> float:
         return self.lowest[bucket.limit.covered_ms].read(self.at_ms)
 
-    def _cover(self, times_ms: Iterable[float], now_ms: float) -> None:
+    def _keep_lowest_shares(self, times_ms: Iterable[float], now_ms: float) -> None:
         """Keep the lowest sums of shares in ``times_ms``, and no others."""
         kept = {}
         for covered_ms in times_ms:
--- a/src/jujubetiller/quotas/_delegations.py
+++ b/src/jujubetiller/quotas/_delegations.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from jujubetiller.quotas import _messages
+
 MAX_DELEGATIONS = 4_096
 
 
@@ -22,7 +24,7 @@
     """
 
     def __init__(self) -> None:
-        self.entries: dict[tuple[str, int], _Entry] = {}
+        self.entries: dict[_messages.Sender, _Entry] = {}
         self.total = 0.0
         self.first_end_ms = math.inf
         self.refused = 0
@@ -30,7 +32,7 @@
 
     def record(
         self,
-        sender: tuple[str, int],
+        sender: _messages.Sender,
         number: int,
         share: float,
         until_ms: float,
@@ -48,7 +50,7 @@
         if known is None or known.share != share:
             self._sum()
 
-    def remove(self, sender: tuple[str, int]) -> None:
+    def remove(self, sender: _messages.Sender) -> None:
         """Use the share of ``sender`` no more."""
         if self.entries.pop(sender, None) is not None:
             self._sum()
--- a/src/jujubetiller/quotas/_fleet_share.py
+++ b/src/jujubetiller/quotas/_fleet_share.py
@@ -3,6 +3,8 @@
 import collections
 import math
 
+import attrs
+
 from jujubetiller import clock
 from jujubetiller.quotas import _team_limit
 
@@ -15,6 +17,15 @@
 """Sizes of lists that are kept; when there are more, the largest are kept."""
 
 
+@attrs.frozen
+class ShareLease:
+    """A share of all rates, and the time up to which it holds."""
+
+    share: float
+    ends_ms: float
+    """On the boot clock."""
+
+
 class FleetShare:
     """Derives ``1 / n`` from the lists of nodes that this node knew recently.
 
@@ -40,8 +51,8 @@
 
     def update(
         self, hosts: frozenset[str], is_listed: bool, as_of_ms: float
-    ) -> tuple[float, float]:
-        """Record the present list; return the share and the time up to which it holds.
+    ) -> ShareLease:
+        """Record the present list; return the share, 0 if the node has none.
 
         ``hosts`` are the nodes in the list, ``is_listed`` whether this one is among
         them, and ``as_of_ms`` the reading of the clock as of which the list is known.
@@ -70,12 +81,12 @@
         if len(self.former) > MAX_SIZES:
             self.former.pop()
 
-    def _share(self, now_ms: float) -> tuple[float, float]:
+    def _share(self, now_ms: float) -> ShareLease:
         while self.former and now_ms - self.former[0][0] > FORMER_MS:
             self.former.popleft()
         ends_ms = self.as_of_ms + _team_limit.KNOWLEDGE_MS
         listed_ms = self.as_of_ms - self.listed_from_ms
         if now_ms >= ends_ms or not listed_ms >= _team_limit.LISTED_MS:
-            return 0.0, now_ms
+            return ShareLease(0.0, now_ms)
         largest = max(len(self.hosts), self.former[0][1] if self.former else 0)
-        return 1.0 / max(1, largest), ends_ms
+        return ShareLease(1.0 / max(1, largest), ends_ms)
--- a/src/jujubetiller/quotas/_messages.py
+++ b/src/jujubetiller/quotas/_messages.py
@@ -3,6 +3,15 @@
 import attrs
 
 
+@attrs.frozen
+class Sender:
+    """The process that sends questions."""
+
+    host: str
+    boot: int
+    """Identifies the process on its host."""
+
+
 @attrs.frozen
 class Delegation:
     """A share that the sender of a question lets the receiver use."""
@@ -71,7 +80,16 @@
     """The answer to a question."""
 
     number: int
+    """The number of the question."""
+
     boot: int
+    """Identifies the answering node's process."""
+
     stamp_ms: float
+    """The answering node's boot clock, in ms; the asker returns it with its next
+    delegation."""
+
     version: int
+    """Version of the answering node's configuration."""
+
     grants: tuple[Grant, ...]
--- a/src/jujubetiller/quotas/_node_quota.py
+++ b/src/jujubetiller/quotas/_node_quota.py
@@ -6,20 +6,25 @@
 import attrs
 
 from jujubetiller import clock
-from jujubetiller.quotas import _messages, _team_limit, _token_lots
-
-DEMAND_MS = 2_000.0
-
-HELD_MS = 500.0
+from jujubetiller.quotas import (
+    _decaying_demand,
+    _messages,
+    _precision,
+    _team_limit,
+    _token_lots,
+)
+
+PREFETCH_MS = 500.0
 """A node asks for the tokens that it is expected to need for this long."""
 
 MIN_DEMAND = 1.0
 """Requests within ``DEMAND_MS``, on average, below which a node holds no tokens."""
 
-MIN_EMPTY_MS = 20.0
-MAX_EMPTY_MS = 50.0
+MIN_REFUSAL_MS = 20.0
+MAX_REFUSAL_MS = 50.0
 """Bounds on the time for which a node refuses a team's requests without asking, after
-it got too few tokens: a hot team would cost a question for each request."""
+it got too few tokens: a team far above its rate would cost a question for each
+request."""
 
 
 @attrs.define
@@ -27,8 +32,11 @@
     """What a node holds and knows for one team."""
 
     lots: _token_lots.TokenLots = attrs.field(factory=_token_lots.TokenLots)
-    demand: float = 0.0
-    demand_at_ms: float = 0.0
+    demand: _decaying_demand.DecayingDemand = attrs.field(
+        factory=_decaying_demand.DecayingDemand
+    )
+    """Requests, each of which needs one token."""
+
     empty_until_ms: float = -math.inf
     expected_at_ms: float = -math.inf
     """When the next token is expected."""
@@ -90,7 +98,7 @@
         """Take a token that is at hand, or return None."""
         now_ms = self.clock.now_ms()
         lots = self.holding(team).lots
-        if lots.total(now_ms) < _token_lots.WHOLE:
+        if lots.total(now_ms) < _precision.WHOLE_TOKEN:
             return None
         _, expires_ms = lots.take(1.0, now_ms)
         return _token_lots.Token(team, expires_ms)
@@ -104,41 +112,53 @@
 
     def record_request(self, team: str) -> None:
         """Record a request, by which the team's demand is known."""
-        holding, now_ms = self.holding(team), self.clock.now_ms()
-        holding.demand = _decay(holding, now_ms) + 1.0
-        holding.demand_at_ms = now_ms
+        self.holding(team).demand.add(1.0, self.clock.now_ms())
 
     def list_wanted(self) -> tuple[_messages.Demand, ...]:
         """Return what the node wants beside what it holds, by recent demand."""
         now_ms = self.clock.now_ms()
         wanted = []
         for team, holding in self.holdings.items():
-            demand = _decay(holding, now_ms)
+            demand = holding.demand.read(now_ms)
             if demand < MIN_DEMAND:
                 continue
-            target = max(1.0, math.ceil(demand * HELD_MS / DEMAND_MS))
+            target = max(
+                1.0, math.ceil(demand * PREFETCH_MS / _decaying_demand.DEMAND_MS)
+            )
             missing = math.floor(target - holding.lots.total(now_ms))
             if missing >= 1:
                 wanted.append(_messages.Demand(team, 0.0, float(missing)))
         return tuple(wanted)
 
+    def expiry_ms(
+        self, grant: _messages.Grant, sent_ms: float, version: int
+    ) -> float | None:
+        """Return when granted tokens expire; None if they must not be used.
+
+        The answer was sent after the question of ``sent_ms``, so that what its tokens
+        had left then counts from ``sent_ms`` here, for ``TOKEN_LIFE_MS`` at most.
+        ``version`` is the configuration of the granting node: tokens from before a
+        limit fell are not used.
+        """
+        if version < self.lowered.get(grant.team, 0):
+            return None
+        return sent_ms + min(grant.left_ms, _team_limit.TOKEN_LIFE_MS)
+
     def add_grants(
         self, grants: Iterable[_messages.Grant], sent_ms: float, version: int
     ) -> float:
         """Add the tokens of an answer to a question of ``sent_ms``; return how many.
 
-        The answer was sent later, so that what its tokens had left then counts from
-        ``sent_ms`` here. ``version`` is the configuration of the granting node: tokens
-        from before a limit fell are not used.
+        ``version`` is the configuration of the granting node, see ``expiry_ms``.
         """
         added = 0.0
         for grant in grants:
             if grant.team not in self.limits:
                 continue
             holding = self.holding(grant.team)
-            if grant.amount > 0.0 and version >= self.lowered.get(grant.team, 0):
-                left_ms = min(grant.left_ms, _team_limit.TOKEN_LIFE_MS)
-                holding.lots.add(grant.amount, sent_ms + left_ms)
+            expires_ms = self.expiry_ms(grant, sent_ms, version)
+            if grant.amount > 0.0 and expires_ms is not None:
+                holding.lots.add(grant.amount, expires_ms)
                 added += grant.amount
         return added
 
@@ -147,12 +167,12 @@
     ) -> None:
         """Record that too few tokens were granted, and when more are expected."""
         holding, now_ms = self.holding(team), self.clock.now_ms()
-        pause_ms = min(max(wait_ms, MIN_EMPTY_MS), MAX_EMPTY_MS)
+        pause_ms = min(max(wait_ms, MIN_REFUSAL_MS), MAX_REFUSAL_MS)
         holding.empty_until_ms = now_ms + pause_ms
         holding.expected_at_ms = now_ms + wait_ms
         holding.asked, holding.granted = asked, granted
 
-    def is_empty(self, team: str) -> bool:
+    def refuses_without_asking(self, team: str) -> bool:
         """Return whether no token can be had for ``team`` at present."""
         return self.clock.now_ms() < self.holding(team).empty_until_ms
 
@@ -164,8 +184,3 @@
         """Return how many granted tokens have expired without being used."""
         held = sum(holding.lots.expired for holding in self.holdings.values())
         return self.expired_before + held
-
-
-def _decay(holding: _Holding, now_ms: float) -> float:
-    """Return the requests within ``DEMAND_MS``, on average that decays."""
-    return holding.demand * math.exp((holding.demand_at_ms - now_ms) / DEMAND_MS)
--- a/src/jujubetiller/quotas/_answering.py
+++ b/src/jujubetiller/quotas/_question_handler.py
@@ -9,17 +9,17 @@
     _messages,
     _node_quota,
     _quota_counters,
-    _share_use,
+    _share_holder,
 )
 
 
-class Answering:
+class QuestionHandler:
     """Grants tokens to nodes of the own zone and to coordinators of others."""
 
     def __init__(
         self,
         coordinator: _coordinator.Coordinator,
-        own_share: _share_use.ShareUse,
+        own_share: _share_holder.ShareHolder,
         borrowing: _borrowing.Borrowing,
         node: _node_quota.NodeQuota,
         counters: _quota_counters.QuotaCounters,
@@ -60,7 +60,7 @@
             reply(
                 _messages.Answer(
                     question.number,
-                    self.own_share.own[1],
+                    self.own_share.own.boot,
                     self.coordinator.clock.now_ms(),
                     version,
                     tuple(grants),
@@ -71,7 +71,7 @@
             finish()
             return
         lacking = {
-            team: math.ceil(amount) - self.coordinator.stock(team)
+            team: math.ceil(amount) - self.coordinator.available_tokens(team)
             for team, amount in missing.items()
         }
         self.borrowing.borrow(lacking, finish)
--- a/src/jujubetiller/quotas/_quota_rounds.py
+++ b/src/jujubetiller/quotas/_quota_rounds.py
@@ -6,26 +6,28 @@
 
 from jujubetiller import clock
 from jujubetiller.quotas import (
-    _answering,
     _borrowing,
     _coordinator,
     _coordinator_choice,
     _messages,
     _node_quota,
+    _pending_question,
+    _precision,
+    _question_handler,
     _quota_counters,
-    _share_use,
+    _share_holder,
     _team_limit,
     _token_lots,
     _transport,
     _waiting_requests,
 )
 
-ANSWER_MS = 400.0
+ANSWER_TIMEOUT_MS = 400.0
 """A node that has not answered in this time is passed over for a while."""
 
-SECOND_ASKED_MS = 40.0
+FALLBACK_DELAY_MS = 40.0
 """Time after which another node is asked as well for requests that wait: the answer to
-a request that waits for other zones takes about 5 ms in calm."""
+a request that waits for other zones takes about 5 ms without faults."""
 
 
 class QuotaRounds:
@@ -46,7 +48,7 @@
         self.boot = random_source.getrandbits(32)
         self.counters = _quota_counters.QuotaCounters()
         self.coordinator = _coordinator.Coordinator(boot_clock)
-        self.own_share = _share_use.ShareUse(
+        self.own_share = _share_holder.ShareHolder(
             boot_clock, self.coordinator, own_host, self.boot
         )
         self.node = _node_quota.NodeQuota(boot_clock)
@@ -61,7 +63,7 @@
             functools.partial(self._ask, is_from_zone=True),
             self.counters,
         )
-        self.answering = _answering.Answering(
+        self.question_handler = _question_handler.QuestionHandler(
             self.coordinator, self.own_share, self.borrowing, self.node, self.counters
         )
         self.number = 0
@@ -134,13 +136,13 @@
             return None
         is_full = count >= _waiting_requests.MAX_WAITING
         self.counters.over_bound += is_full
-        if is_full or self.node.is_empty(team):
+        if is_full or self.node.refuses_without_asking(team):
             self._refuse(team, refused)
             return None
         waiting = self.waiting.add(
             team, admitted, refused, lambda ended: self._refuse(team, ended.refused)
         )
-        self._ask_now(team)
+        self._request_tokens(team)
         return None if waiting.is_over else self.waiting.make_drop(team, waiting)
 
     def give_back(self, token: _token_lots.Token) -> None:
@@ -152,8 +154,8 @@
         question: _messages.Question,
         reply: Callable[[_messages.Answer], None],
     ) -> None:
-        """Answer a question, see ``Answering.receive``."""
-        self.answering.receive(question, reply)
+        """Answer a question, see ``QuestionHandler.receive``."""
+        self.question_handler.receive(question, reply)
 
     def _use_own_share(self) -> None:
         self.number += 1
@@ -179,10 +181,11 @@
             delegation,
             demands,
         )
-        callback: list[Callable[[_messages.Answer | None, float], None]] = [answered]
+        pending = _pending_question.PendingQuestion(number, answered)
 
         def end(answer: _messages.Answer | None) -> None:
-            if not callback or (answer is not None and answer.number != number):
+            on_answer = pending.resolve(answer)
+            if on_answer is None:
                 return
             cancel()
             if answer is None:
@@ -191,9 +194,9 @@
             else:
                 self.choice.record_answer(host)
                 self.own_share.record_stamp(host, answer)
-            callback.pop()(answer, sent_ms)
+            on_answer(answer, sent_ms)
 
-        cancel = self.transport.call_later(ANSWER_MS, lambda: end(None))
+        cancel = self.transport.call_later(ANSWER_TIMEOUT_MS, lambda: end(None))
         if host == self.own_host:
             self.receive(question, end)
             return
@@ -213,7 +216,7 @@
         self.counters.granted += added
         return added
 
-    def _ask_now(self, team: str) -> None:
+    def _request_tokens(self, team: str) -> None:
         """Ask for tokens for the requests of ``team`` that wait."""
         count = self.waiting.count(team)
         if team in self.asking or not count:
@@ -225,16 +228,17 @@
         needed = float(count)
         demand = _messages.Demand(team, needed, 0.0)
         cancel = self.transport.call_later(
-            SECOND_ASKED_MS, functools.partial(self._ask_second, team, host)
+            FALLBACK_DELAY_MS,
+            functools.partial(self._request_tokens_elsewhere, team, host),
         )
 
-        def asked(answer: _messages.Answer | None, sent_ms: float) -> None:
+        def on_answer(answer: _messages.Answer | None, sent_ms: float) -> None:
             cancel()
-            self._asked(team, needed, answer, sent_ms)
+            self._handle_tokens(team, needed, answer, sent_ms)
 
-        self._ask(host, (demand,), asked)
+        self._ask(host, (demand,), on_answer)
 
-    def _ask_second(self, team: str, silent: str) -> None:
+    def _request_tokens_elsewhere(self, team: str, silent: str) -> None:
         """Ask another node for the requests that wait for the answer of ``silent``."""
         count = self.waiting.count(team)
         host = self.choice.first(self.zone, without=silent)
@@ -243,7 +247,7 @@
             answered = functools.partial(self._round_answered, host)
             self._ask(host, (demand,), answered)
 
-    def _asked(
+    def _handle_tokens(
         self,
         team: str,
         needed: float,
@@ -258,14 +262,14 @@
             return
         if answer is not None:
             added = self._add_grants(answer, sent_ms)
-            if added < needed - 1e-6:
+            if added < needed - _precision.TOLERANCE:
                 waits = [grant.wait_ms for grant in answer.grants]
                 self.node.record_shortage(team, needed, added, max(waits, default=0.0))
         self._admit_waiting(team)
-        if self.node.is_empty(team):
+        if self.node.refuses_without_asking(team):
             for waiting in self.waiting.pop_all(team):
                 self._refuse(team, waiting.refused)
-        self._ask_now(team)
+        self._request_tokens(team)
 
     def _admit_waiting(self, team: str) -> None:
         while self.waiting.count(team):
--- a/src/jujubetiller/quotas/_team_limit.py
+++ b/src/jujubetiller/quotas/_team_limit.py
@@ -31,12 +31,22 @@
 """Part of a team's rate that is generated all the time. The pool gives the rest, and
 bursts: in each window, it has what the bound leaves beside generation."""
 
-DEPTH_S = 0.2
+DEPTH_AT_RATE_S = 0.2
 """Time of a team's rate that its buckets hold beside the slack of the bound, for
 requests that come unevenly. The slack is most of what a small team has."""
 
 _LIFE_S = 1.02
+"""Tokens live ``TOKEN_LIFE_MS`` on a clock that is up to 1% slow, which is 1.0101 s;
+rounded up."""
+
 _FASTEST_CLOCK = 1.0125
+"""Generating clocks may be 1% fast, and a token's life is counted in the same way, see
+docs/design/quotas.md."""
+
+
+def _find_covered_s(window_ms: int) -> float:
+    """Return the seconds in which tokens may be granted that one window can use."""
+    return (window_ms / 1000.0 + _LIFE_S) * _FASTEST_CLOCK
 
 
 @attrs.frozen
@@ -44,12 +54,17 @@
     """What all nodes together may generate for a team, hold, and grant from pools."""
 
     rate_per_ms: float
+    """Tokens that are generated in each millisecond."""
+
     depth: float
+    """Tokens that the buckets hold at most."""
 
     pool: float = 0.0
     """Tokens that can be granted in any ``covered_ms`` beside the generated ones."""
 
-    covered_ms: float = 6_095.25
+    covered_ms: float = round(
+        _find_covered_s(settings.QuotaSettings().window_ms) * 1000.0, 6
+    )
     """Time in which tokens may have been granted that are used in one window."""
 
     def is_lower(self, other: "TeamLimit") -> bool:
@@ -75,8 +90,8 @@
     """
     window_s = quota.window_ms / 1000.0
     bound = (rate_per_s * window_s + burst) * (1.0 + quota.overshoot) + quota.slack
-    covered_s = (window_s + _LIFE_S) * _FASTEST_CLOCK
-    depth = min(bound, max(1.0, DEPTH_S * rate_per_s + quota.slack))
+    covered_s = _find_covered_s(quota.window_ms)
+    depth = min(bound, max(1.0, DEPTH_AT_RATE_S * rate_per_s + quota.slack))
     generated_per_s = min(RATE_PART * rate_per_s, (bound - depth) / covered_s)
     pool = max(0.0, bound - depth - covered_s * generated_per_s)
     return TeamLimit(
--- a/src/jujubetiller/quotas/_token_lots.py
+++ b/src/jujubetiller/quotas/_token_lots.py
@@ -5,9 +5,6 @@
 MAX_LOTS = 64
 """More lots than arrive within the life of a token; further tokens are dropped."""
 
-WHOLE = 1.0 - 1e-6
-"""Amounts are sent in thousandths, and sums of these are not exact."""
-
 
 @attrs.frozen
 class Token:
--- a/tests/quotas/test_parts.py
+++ b/tests/quotas/test_parts.py
@@ -71,7 +71,8 @@
     found = 0.0
     for _ in range(int(duration_ms / 100.0)):
         manual_clock.advance(100.0)
-        found, _ = share.update(hosts, is_listed, manual_clock.now_ms() - 200.0)
+        as_of_ms = manual_clock.now_ms() - 200.0
+        found = share.update(hosts, is_listed, as_of_ms).share
     return found
 
 
@@ -88,7 +89,7 @@
     now_ms = manual_clock.now_ms()
     share.update(HOSTS, True, now_ms - (quotas.KNOWLEDGE_MS - 100.0))
     manual_clock.advance(300.0)
-    assert share.update(HOSTS, True, now_ms + 300.0)[0] == 0.0
+    assert share.update(HOSTS, True, now_ms + 300.0).share == 0.0
 
 
 def test_additions_count_before_removals_and_stay_for_a_while() -> None:
@@ -114,7 +115,7 @@
     pass_time(manual_clock, share, LONG_ENOUGH_MS)
     manual_clock.advance(gap_ms)
     now_ms = manual_clock.now_ms()
-    assert (share.update(HOSTS, True, now_ms)[0] > 0.0) == has_share
+    assert (share.update(HOSTS, True, now_ms).share > 0.0) == has_share
 
 
 def test_a_node_that_is_not_listed_or_knows_too_little_has_no_share() -> None:
@@ -124,21 +125,21 @@
     pass_time(manual_clock, share, LONG_ENOUGH_MS)
     as_of_ms = manual_clock.now_ms() - 200.0
     manual_clock.advance(quotas.KNOWLEDGE_MS - 200.0)
-    assert share.update(HOSTS, True, as_of_ms)[0] == 0.0
+    assert share.update(HOSTS, True, as_of_ms).share == 0.0
 
 
 def test_a_delegation_is_replaced_by_later_numbers_only_and_ends() -> None:
     """A late message must not bring back a larger share."""
     delegations = quotas.Delegations()
-    delegations.record(("a", 1), 5, 0.25, 2_000.0, 0.0)
-    delegations.record(("a", 1), 4, 0.5, 3_000.0, 0.0)
-    delegations.record(("a", 2), 1, 0.25, 1_000.0, 0.0)
+    delegations.record(quotas.Sender("a", 1), 5, 0.25, 2_000.0, 0.0)
+    delegations.record(quotas.Sender("a", 1), 4, 0.5, 3_000.0, 0.0)
+    delegations.record(quotas.Sender("a", 2), 1, 0.25, 1_000.0, 0.0)
     assert delegations.total == 0.5
     delegations.expire(1_000.0)
     assert delegations.total == 0.25
     delegations.expire(2_000.0)
     assert delegations.total == 0.0
-    delegations.record(("a", 1), 6, 0.25, 2_000.0, 2_000.0)
+    delegations.record(quotas.Sender("a", 1), 6, 0.25, 2_000.0, 2_000.0)
     assert delegations.total == 0.0
 
 
@@ -152,21 +153,21 @@
 def test_stock_ends_with_the_share_that_generated_it() -> None:
     """A node that is cut off would keep stock that others generate once more."""
     manual_clock, coordinator = make_coordinator()
-    coordinator.record_share(("a", 1), 1, 0.5, 20_000.0)
-    coordinator.record_share(("b", 1), 1, 0.1, 90_000.0)
+    coordinator.record_share(quotas.Sender("a", 1), 1, 0.5, 20_000.0)
+    coordinator.record_share(quotas.Sender("b", 1), 1, 0.1, 90_000.0)
     manual_clock.advance(19_000.0)
-    assert coordinator.stock("t") == pytest.approx(60.0)
+    assert coordinator.available_tokens("t") == pytest.approx(60.0)
     manual_clock.advance(1_000.0)
-    assert coordinator.stock("t") == pytest.approx(10.0)
+    assert coordinator.available_tokens("t") == pytest.approx(10.0)
 
 
 def test_stock_from_before_a_larger_share_is_not_kept_above_its_depth() -> None:
     """A bucket that was full would otherwise gain the new depth at once."""
     manual_clock, coordinator = make_coordinator()
-    coordinator.record_share(("a", 1), 1, 0.1, 1e9)
+    coordinator.record_share(quotas.Sender("a", 1), 1, 0.1, 1e9)
     manual_clock.advance(1e6)
-    coordinator.record_share(("b", 1), 1, 0.4, 1e9)
-    assert coordinator.stock("t") == pytest.approx(10.0)
+    coordinator.record_share(quotas.Sender("b", 1), 1, 0.4, 1e9)
+    assert coordinator.available_tokens("t") == pytest.approx(10.0)
 
 
 def test_borrowed_tokens_expire_and_are_not_lent_on_or_kept_longer() -> None:
@@ -253,7 +254,7 @@
     """The share of a node that was removed would be used for longer than it counts."""
     manual_clock = clock.ManualClock(100_000.0)
     coordinator = quotas.Coordinator(manual_clock)
-    use = quotas.ShareUse(manual_clock, coordinator, "a", 1)
+    use = quotas.ShareHolder(manual_clock, coordinator, "a", 1)
     pass_time(manual_clock, use.fleet, LONG_ENOUGH_MS)
     as_of_ms = manual_clock.now_ms() - 200.0
     use.record_stamp("b", quotas.Answer(1, 9, 50.0, 1, ()))
@@ -267,7 +268,7 @@
     """Its clock may have another start, so that the share would last for too long."""
     manual_clock = clock.ManualClock(1_000.0)
     coordinator = quotas.Coordinator(manual_clock)
-    use = quotas.ShareUse(manual_clock, coordinator, "b", 9)
+    use = quotas.ShareHolder(manual_clock, coordinator, "b", 9)
     for stamp_ms, boot, total in ((900.0, 8, 0.0), (1_001.0, 9, 0.0), (900.0, 9, 0.5)):
         delegation = quotas.Delegation(0.5, stamp_ms, boot, 1e9)
         use.accept(quotas.Question("a", 1, 1, 1, False, delegation, ()))
