Use one margin for the rate of the store's clock

CLOCK_TOLERANCE was defined in published and in mesh; both are now published.CLOCK_RATE_MARGIN. StoreProofs defines what a proof is, and the age up to which retries are fast is named so.

--- a/src/jujubetiller/mesh/_key_check.py
+++ b/src/jujubetiller/mesh/_key_check.py
@@ -25,9 +25,6 @@
     "late_start",
 )
 
-CLOCK_TOLERANCE = 0.98
-"""Part of a time that counts: the clock of the store may run faster."""
-
 LOG_REFUSED = "API keys refused: the node's copy of the store is too old"
 LOG_ACCEPTED = "API keys accepted again"
 
@@ -157,7 +154,7 @@
         return result.Ok(KeyHolder(team, digest))
 
     def _refuse_unknown(self, reason: str) -> codes.ResultCode:
-        longest_ms = CLOCK_TOLERANCE * self.settings.configuration_ms
+        longest_ms = published.CLOCK_RATE_MARGIN * self.settings.configuration_ms
         if self.state_age.age_ms() <= longest_ms:
             self.refused[reason] += 1
             return _Code.UNKNOWN_API_KEY
--- a/src/jujubetiller/published/__init__.py
+++ b/src/jujubetiller/published/__init__.py
@@ -13,9 +13,14 @@
 from jujubetiller.published._state_age import StateAge
 from jujubetiller.published._store_freshness import StoreFreshness
 from jujubetiller.published._store_position import StorePosition
-from jujubetiller.published._store_proofs import PROOF_INTERVAL_MS, StoreProofs
+from jujubetiller.published._store_proofs import (
+    CLOCK_RATE_MARGIN,
+    PROOF_INTERVAL_MS,
+    StoreProofs,
+)
 
 __all__ = [
+    "CLOCK_RATE_MARGIN",
     "MAX_NUMBER",
     "PROOF_INTERVAL_MS",
     "Changes",
--- a/src/jujubetiller/published/_store_freshness.py
+++ b/src/jujubetiller/published/_store_freshness.py
@@ -13,7 +13,7 @@
 """Keeps the watches of the nodes from ending at the same time."""
 
 PROOF_JITTER = 0.06
-"""The same for the time between two proofs, each of which costs a read."""
+"""Keeps the proofs of readers in different zones from being due at the same time."""
 
 MIN_WAIT_MS = 200.0
 """A shorter wait is left out, as it would cost a read for little."""
--- a/src/jujubetiller/published/_store_proofs.py
+++ b/src/jujubetiller/published/_store_proofs.py
@@ -9,14 +9,15 @@
 second. With the time between two questions of a node, its knowledge stays younger than
 2 s."""
 
-CLOCK_TOLERANCE = 0.98
-"""Part of a wait that counts as proven: the clock of the store may run faster."""
+CLOCK_RATE_MARGIN = 0.98
+"""Durations agreed with the store are multiplied by this, because its clock may run up
+to 2% faster."""
 
 RETRY_PAUSE_MS = 400.0
 """Longest pause after a failed read while the own proof is young: an outage of 3 s must
 refuse no request with a key, which leaves 0.75 s after it."""
 
-RETRY_SOON_MS = 5_000.0
+MAX_AGE_FOR_FAST_RETRY_MS = 5_000.0
 """Age of the own proof from which the usual pauses apply, as failed reads cost too."""
 
 
@@ -27,9 +28,10 @@
 class StoreProofs:
     """Records until when the reads of this node prove the state of the store.
 
-    Only a read whose answer was applied is to be recorded. It proves the state as of
-    its start; a watch that found nothing proves it up to the end of its wait. With an
-    interval, the primary reader of a zone is to have a younger proof at any time.
+    A proof is a read of the store whose answer was applied. It shows the state as of
+    the start of the read, or of the end of a whole wait for a watch that found
+    nothing. With an interval, the primary reader of a zone is to have a younger proof
+    at any time.
     """
 
     def __init__(
@@ -51,7 +53,7 @@
         ``empty_wait_ms`` is the time for which the store was asked to wait, if it found
         nothing. An answer that came earlier shows that it has not waited as long.
         """
-        waited_ms = CLOCK_TOLERANCE * empty_wait_ms
+        waited_ms = CLOCK_RATE_MARGIN * empty_wait_ms
         took_ms = self.now_ms() - started_ms
         # An answer that comes much later may have been made early and held up.
         is_whole_wait = waited_ms <= took_ms <= empty_wait_ms + LONGEST_WAY_MS
@@ -65,7 +67,7 @@
 
     def limit_retry_ms(self, pause_ms: float) -> float:
         """Return the pause after a failed read, for which ``pause_ms`` is the usual."""
-        if self.interval_ms is None or self.own_age_ms() > RETRY_SOON_MS:
+        if self.interval_ms is None or self.own_age_ms() > MAX_AGE_FOR_FAST_RETRY_MS:
             return pause_ms
         return min(pause_ms, RETRY_PAUSE_MS)
 
