--- a/src/jujubetiller/mesh/_proof_interval.py
+++ b/src/jujubetiller/mesh/_proof_interval.py
@@ -33,5 +33,5 @@
         )
         reading = self.reading
         reading.source.set_proof_interval(interval_ms)
-        reading.choice.asks_first = interval_ms is not None
+        reading.choice.prefers_first_reader = interval_ms is not None
         reading.pacing.proof_interval_ms = interval_ms
--- a/src/jujubetiller/mesh/_request.py
+++ b/src/jujubetiller/mesh/_request.py
@@ -3,7 +3,7 @@
 from jujubetiller import calls, edge, limits, routes, teams
 from jujubetiller.mesh import _header_names, _mesh_parts
 
-CLASSES_PER_TEAM_CLASS = 1_024
+ROUTE_CLASSES_PER_TEAM_CLASS = 1_024
 """A class of routes above this counts as the least important one of its team."""
 
 
@@ -63,8 +63,8 @@
     team_class = configuration.team_table.least_important_class
     if team is not None:
         team_class = team.priority_class
-    within = min(route.priority_class, CLASSES_PER_TEAM_CLASS - 1)
-    return CLASSES_PER_TEAM_CLASS * team_class + within
+    within = min(route.priority_class, ROUTE_CLASSES_PER_TEAM_CLASS - 1)
+    return ROUTE_CLASSES_PER_TEAM_CLASS * team_class + within
 
 
 def name_throttle(route: routes.Route, team: teams.Team | None) -> str:
--- a/src/jujubetiller/mesh/_store_reading.py
+++ b/src/jujubetiller/mesh/_store_reading.py
@@ -55,7 +55,7 @@
             parts.random,
             node_settings.zone,
             node_settings.listen.peer.host,
-            asks_first=node_settings.store.proof_interval_ms is not None,
+            prefers_first_reader=node_settings.store.proof_interval_ms is not None,
         )
         self.pacing = readers.QuestionPacing(
             parts.random, node_settings.store.proof_interval_ms
--- a/src/jujubetiller/platform/_teams.py
+++ b/src/jujubetiller/platform/_teams.py
@@ -7,7 +7,9 @@
 from jujubetiller import schema, teams
 from jujubetiller.platform import _fields, _key_digests
 
-HIGHEST_PRIORITY_CLASS = 1_023
+HIGHEST_TEAM_CLASS = 1_023
+"""The class of a call, 1,024 * team class + route class, must stay below 2**24."""
+
 KEYS = _key_digests.KEYS
 
 _DIGEST = re.compile("[0-9a-f]{64}")
@@ -43,7 +45,7 @@
         name=name,
         key_digests=_read_digests(row),
         priority_class=_fields.read_integer(
-            row, "priority", highest=HIGHEST_PRIORITY_CLASS, default=0
+            row, "priority", highest=HIGHEST_TEAM_CLASS, default=0
         ),
         rate_per_s=_read_rate(row, "rate_per_s"),
         burst=_read_rate(row, "burst"),
--- a/src/jujubetiller/readers/_question_pacing.py
+++ b/src/jujubetiller/readers/_question_pacing.py
@@ -5,7 +5,7 @@
 QUESTION_JITTER = 0.4
 """Width of the random part of the pause, relative to it."""
 
-NEWS_SPREAD_MS = 120.0
+PROOF_QUESTION_SPREAD_MS = 120.0
 """Time over which the questions of the nodes are spread that follow one proof."""
 
 MIN_PAUSE_MS = 250.0
@@ -44,7 +44,10 @@
         if self.proof_interval_ms is None:
             return None
         expected_ms = self.proof_interval_ms - age_ms
-        return max(MIN_PAUSE_MS, expected_ms) + NEWS_SPREAD_MS * self.random.random()
+        return (
+            max(MIN_PAUSE_MS, expected_ms)
+            + PROOF_QUESTION_SPREAD_MS * self.random.random()
+        )
 
     def _draw_jitter(self) -> float:
         half = QUESTION_JITTER / 2.0
--- a/src/jujubetiller/readers/_reader_choice.py
+++ b/src/jujubetiller/readers/_reader_choice.py
@@ -46,13 +46,13 @@
         random_source: random.Random,
         zone: str,
         own: str,
-        asks_first: bool = False,
+        prefers_first_reader: bool = False,
     ) -> None:
         self.clock = time_source
         self.random = random_source
         self.zone = zone
         self.own = own
-        self.asks_first = asks_first
+        self.prefers_first_reader = prefers_first_reader
         """Whether to ask the first reader in each round, as only that one has a recent
         proof of what it knows."""
 
@@ -154,7 +154,7 @@
         ]
         if not left:
             return None
-        name = left[0 if self.asks_first else self.round % len(left)]
+        name = left[0 if self.prefers_first_reader else self.round % len(left)]
         self.asked.add(name)
         return name
 
@@ -196,7 +196,7 @@
                 continue
             is_first = name == self.nodes[0] and name in self.unable
             interval_ms = PROBE_INTERVAL_MS
-            if self.asks_first and is_first:
+            if self.prefers_first_reader and is_first:
                 interval_ms = UNABLE_PROBE_INTERVAL_MS
             if now_ms - at_ms >= interval_ms:
                 return [name]
--- a/src/jujubetiller/settings/_feature_settings.py
+++ b/src/jujubetiller/settings/_feature_settings.py
@@ -11,10 +11,11 @@
 
     admission: str = _fields.choice("delay", "delay", "cost")
     """Admit requests where they enter by the queueing delays that answers report, or by
-    what they cost where the call graph is narrowest."""
+    the cost at the services that are full."""
 
     placing: str = _fields.choice("latency", "latency", "room")
     """Spread calls by relative latency, or by the room that targets' nodes report."""
 
     target_limit: str = _fields.choice("fixed", "fixed", "learned")
-    """Limit calls at the target to its declared slots, or to what it takes well."""
+    """Limit calls at the target to its declared slots, or to a limit
+    learned from throughput."""
--- a/tests/readers/test_question_pacing.py
+++ b/tests/readers/test_question_pacing.py
@@ -50,13 +50,13 @@
     assert make_pacing(None).draw_answered_pause_ms(100.0) is None
 
 
-@pytest.mark.parametrize(("asks_first", "asked"), [(True, 1), (False, 2)])
+@pytest.mark.parametrize(("prefers_first_reader", "asked"), [(True, 1), (False, 2)])
 def test_only_the_first_reader_is_asked_if_that_one_proves(
-    asks_first: bool, asked: int
+    prefers_first_reader: bool, asked: int
 ) -> None:
     """Guards against ages that grow by a round at the second reader."""
     choice = readers.ReaderChoice(
-        clock.ManualClock(), random.Random(5), "1", "own", asks_first
+        clock.ManualClock(), random.Random(5), "1", "own", prefers_first_reader
     )
     choice.set_nodes(["own", *(f"node-{number}" for number in range(20))])
     names = {name for _ in range(6) for name in choice.start_round()}
