--- a/src/jujubetiller/mesh/_quota_exchange.py
+++ b/src/jujubetiller/mesh/_quota_exchange.py
@@ -108,7 +108,8 @@
         """
 
         def refuse(refusal: quotas.Refusal) -> None:
-            # Nothing is built for a line that is suppressed: a hot team is refused
+            # Nothing is built for a line that is suppressed: a team far above its
+            # rate is refused
             # thousands of times.
             unlogged = self.parts.refusal_log.admit("quota exceeded")
             if unlogged is None:
@@ -170,7 +171,11 @@
             decoded = _quota_message.decode_answer(answer.body)
             if isinstance(decoded, result.Err):
                 self.rounds.counters.rejected += 1
-                _LOG.warning("quota answer rejected: {}", decoded.err_value)
+                _LOG.warning(
+                    "quota answer rejected: {}",
+                    decoded.err_value,
+                    extra={"host": host},
+                )
                 answered(None)
                 return
             answered(decoded.ok_value)
--- a/src/jujubetiller/settings/_feature_settings.py
+++ b/src/jujubetiller/settings/_feature_settings.py
@@ -18,4 +18,5 @@
     """Spread calls by relative latency, or by the room that targets' nodes report."""
 
     target_limit: str = _fields.choice("fixed", "fixed", "learned")
-    """Limit calls at the target to its declared slots, or to what it takes well."""
+    """Limit calls at the target to its declared slots, or to a limit
+    learned from throughput."""
