Give the reasons of constants without one deployment's figures

Some comments justified constants of the routing, the learned limit and the admission by figures of one load: the swing of a zone's demand, the share of long calls, the length of slow-downs. Others told what an earlier value did. They give the reason in general terms now.

A comment that was broken over three lines and three blank lines too many are put right. No code changes.

--- a/src/jujubetiller/admission/_entry_admission.py
+++ b/src/jujubetiller/admission/_entry_admission.py
@@ -44,8 +44,8 @@
 It exceeds the required quarter because some admitted requests fail."""
 
 RATE_WEIGHT = 0.08
-"""Weight of one interval in the rates of offers. With 0.25, the rate of a team with one
-or two requests a second seemed to exceed its fair part now and then."""
+"""Weight of one interval in the rates of offers. With a much higher one, the rate of a
+team with one or two requests a second would exceed its fair part now and then."""
 
 MIN_PER_S = 0.02
 """Requests of a route and team below this rate are forgotten."""
--- a/src/jujubetiller/limits/_learned_limit_policy.py
+++ b/src/jujubetiller/limits/_learned_limit_policy.py
@@ -19,7 +19,7 @@
 """Relative run time from which a lower limit is tried."""
 
 _ELEVATED_MS = 800.0
-"""How long run times must be higher before a trial: targets turn slower for 600 ms."""
+"""How long run times must be higher before a trial: short slow-downs need none."""
 
 _TRIAL_SHARE = 0.75
 """The lower limit of a trial. A difference of a tenth would take more samples than
--- a/src/jujubetiller/limits/_run_averages.py
+++ b/src/jujubetiller/limits/_run_averages.py
@@ -5,7 +5,7 @@
 from jujubetiller.limits import _kind_baselines, _run_window
 
 _CLIPPED_RATIO = 3.0
-"""Bound on one call against the present average: 3% take seven times as long."""
+"""Bound on one call against the present average, as a few take many times as long."""
 
 _SAMPLE_WEIGHT = 0.05
 """Weight of a new sample in the moving averages."""
--- a/src/jujubetiller/mesh/_call_reports.py
+++ b/src/jujubetiller/mesh/_call_reports.py
@@ -21,7 +21,6 @@
     )
 )
 
-
 _KEY_CODES = frozenset((_Code.KEYS_NOT_CURRENT, _Code.UNKNOWN_API_KEY))
 
 
--- a/src/jujubetiller/mesh/_quota_exchange.py
+++ b/src/jujubetiller/mesh/_quota_exchange.py
@@ -109,8 +109,7 @@
 
         def refuse(refusal: quotas.Refusal) -> None:
             # Nothing is built for a line that is suppressed: a team far above its
-            # rate is refused
-            # thousands of times.
+            # rate is refused thousands of times.
             unlogged = self.parts.refusal_log.admit("quota exceeded")
             if unlogged is None:
                 refused(refusal.retry_after_ms)
--- a/src/jujubetiller/published/_store_proofs.py
+++ b/src/jujubetiller/published/_store_proofs.py
@@ -20,7 +20,6 @@
 MAX_AGE_FOR_FAST_RETRY_MS = 5_000.0
 """Age of the own proof from which the usual pauses apply, as failed reads cost too."""
 
-
 LONGEST_WAY_MS = 150.0
 """An answer that comes later than this after a watch's wait does not prove the wait."""
 
--- a/src/jujubetiller/routing/_load_report.py
+++ b/src/jujubetiller/routing/_load_report.py
@@ -15,7 +15,7 @@
 """Time constant with which a learned speed returns to the average without calls."""
 
 RECENT_SPEED_DECAY_MS = 300.0
-"""Time constant of the speed at present, for slow-downs of about 600 ms."""
+"""Time constant of the speed at present, for slow-downs of less than a second."""
 
 OVERDUE_DECAY_MS = 5_000.0
 """Time constant with which overdue attempts lose their effect, as failures do."""
@@ -23,7 +23,7 @@
 _OVERDUE_SHARE = 0.25
 _MOST_OVERDUE = 4
 """Each overdue attempt since the last report leaves a quarter of the weight. A single
-one may be a call with seven times the usual work, and the next report clears it."""
+one may be a call with much more work than usual, and the next report clears it."""
 
 _LASTING_WEIGHT = 0.05
 _RECENT_WEIGHT = 0.3
@@ -31,7 +31,7 @@
 """Weights of a new sample in the moving averages."""
 
 MAX_RATIO = 4.0
-"""Bound on the effect of one call: 3% of the work takes seven times as long."""
+"""Bound on the effect of one call, as a few take many times as long as usual."""
 
 MIN_RATIO = 0.25
 
--- a/src/jujubetiller/routing/_other_zone_share.py
+++ b/src/jujubetiller/routing/_other_zone_share.py
@@ -10,8 +10,8 @@
 """Below this room the own zone is short: on average, calls wait at its instances."""
 
 AMPLE_ROOM = 0.05
-"""Above this room calls return; between both bounds the share stays as it is. With 0.05
-and 0.15 a fifth more calls left zones whose load swings, and no more were in time."""
+"""Above this room calls return; between both bounds the share stays as it is, so that
+it does not follow small changes of the load."""
 
 OTHER_ROOM = 0.15
 """Other zones with less room get no greater share."""
@@ -20,8 +20,8 @@
 """Other zones with less room get a smaller share."""
 
 _RISE_PER_S = 3.0
-"""Change of the share in a second for each unit of lacking room. A zone whose load
-swings by 55% over 17 s changes by at most 0.2 a second."""
+"""Change of the share in a second for each unit of lacking room. It follows a load that
+rises by half within some seconds."""
 
 _FALL_PER_S = 4.0
 """Change of the share in a second for each unit of room beyond the ample one. It is
