Compute the decay and the cost of failures in one place

The room-weighted pool and the room of a zone repeated two formulas of the latency-weighted pool with its constants, and the room-weighted router repeated what its base class counts for a sent call. They call the shared code now.

Measured: tests/routing pass; the same operations in the same order.

--- a/src/jujubetiller/routing/_latency_weighted_pool.py
+++ b/src/jujubetiller/routing/_latency_weighted_pool.py
@@ -11,7 +11,7 @@
 
 _SAMPLE_WEIGHT = 0.1
 
-DECAY_MS = 5_000.0
+_DECAY_MS = 5_000.0
 """Time constant of the decay of old samples."""
 
 LATENCY_EXPONENT = 4.0
@@ -21,7 +21,7 @@
 """Traffic between zones costs, so an instance in another zone gets this share of
 the calls of an equally fast one in the own zone."""
 
-FAILURE_COST = 10.0
+_FAILURE_COST = 10.0
 """Relative increase of the cost of an instance whose calls all fail."""
 
 WEIGHTS_TTL_MS = 10.0
@@ -58,7 +58,7 @@
         self, stats: _Stats, failed: bool, took_ms: float, kind: str, now_ms: float
     ) -> None:
         """Update the statistics of an instance with a call that ended."""
-        decay = math.exp((stats.updated_at_ms - now_ms) / DECAY_MS)
+        decay = decay_of_samples(stats, now_ms)
         stats.relative_latency = 1.0 + (stats.relative_latency - 1.0) * decay
         stats.failure_rate *= decay
         stats.updated_at_ms = now_ms
@@ -110,11 +110,11 @@
 
     def weight_in_own_zone(self, stats: _Stats, now_ms: float) -> float:
         """Return the weight that the instance has, or would have, in the own zone."""
-        decay = math.exp((stats.updated_at_ms - now_ms) / DECAY_MS)
+        decay = decay_of_samples(stats, now_ms)
         relative_latency = max(
             _MIN_RELATIVE_LATENCY, 1.0 + (stats.relative_latency - 1.0) * decay
         )
-        cost = relative_latency * (1.0 + FAILURE_COST * stats.failure_rate * decay)
+        cost = relative_latency * failure_cost(stats, decay)
         return cost**-LATENCY_EXPONENT * stats.warm_share(now_ms)
 
     def _candidates(self, exclude: frozenset[str]) -> list[_Stats]:
@@ -124,3 +124,16 @@
         if len(candidates) > _MAX_CANDIDATES:
             return self.random_source.sample(candidates, _MAX_CANDIDATES)
         return candidates
+
+
+def decay_of_samples(stats: _Stats, now_ms: float) -> float:
+    """Return the part of their effect that the samples of an instance still have."""
+    return math.exp((stats.updated_at_ms - now_ms) / _DECAY_MS)
+
+
+def failure_cost(stats: _Stats, decay: float) -> float:
+    """Return the factor of the cost for failures, 1 without any.
+
+    ``decay`` is what ``decay_of_samples`` returns.
+    """
+    return 1.0 + _FAILURE_COST * stats.failure_rate * decay
--- a/src/jujubetiller/routing/_room_weighted_pool.py
+++ b/src/jujubetiller/routing/_room_weighted_pool.py
@@ -255,11 +255,8 @@
         if mean_slots and stats.instance.slots:
             weight *= stats.instance.slots / mean_slots
         if stats.failure_rate > _MIN_FAILURE_RATE:
-            decay = math.exp(
-                (stats.updated_at_ms - now_ms) / _latency_weighted_pool.DECAY_MS
-            )
-            failure_cost = _latency_weighted_pool.FAILURE_COST
-            cost = 1.0 + failure_cost * stats.failure_rate * decay
+            decay = _latency_weighted_pool.decay_of_samples(stats, now_ms)
+            cost = _latency_weighted_pool.failure_cost(stats, decay)
             weight *= cost**-_latency_weighted_pool.LATENCY_EXPONENT
         if now_ms < stats.warm_at_ms:
             weight *= max(_WARM_FLOOR, stats.warm_share(now_ms))
--- a/src/jujubetiller/routing/_room_weighted_router.py
+++ b/src/jujubetiller/routing/_room_weighted_router.py
@@ -18,11 +18,10 @@
     pool_class = _room_weighted_pool.RoomWeightedPool
 
     def record_sent(self, instance: _routable_instance.RoutableInstance) -> None:
-        """Count a call as outstanding; exactly one ``record_answer`` must follow."""
+        """Count a call as outstanding, and as sent since the last report."""
+        super().record_sent(instance)
         stats = self._find(instance)
         if stats is not None:
-            stats.outstanding += 1
-            stats.sent += 1
             stats.load.record_sent(self.time_source.now_ms())
 
     def record_answer(
--- a/src/jujubetiller/routing/_zone_room.py
+++ b/src/jujubetiller/routing/_zone_room.py
@@ -47,9 +47,7 @@
         load = stats.load
         failure_rate = stats.failure_rate
         if failure_rate > 0.0:
-            failure_rate *= math.exp(
-                (stats.updated_at_ms - now_ms) / _latency_weighted_pool.DECAY_MS
-            )
+            failure_rate *= _latency_weighted_pool.decay_of_samples(stats, now_ms)
         is_young = now_ms - load.at_ms < _load_report.MAX_REPORT_AGE_MS
         if is_young:
             factor = weight * math.exp((load.at_ms - now_ms) / _FADE_MS)
