--- a/src/jujubetiller/target/_target_connection.py
+++ b/src/jujubetiller/target/_target_connection.py
@@ -122,9 +122,7 @@
         if transports.sends_in_parts(self.transport, request.body):
             head = _target_request.encode_head(request)
             transports.send_now(self.transport, head)
-            self.sender = transports.BodyProducer(
-                self.transport, request.body, _do_nothing
-            )
+            self.sender = transports.BodyProducer(self.transport, request.body)
             self.sender.start()
         else:
             data = _target_request.encode_request(request)
@@ -347,10 +345,6 @@
         )
 
 
-def _do_nothing() -> None:
-    """Follow the end of a request's body: nothing is sent behind it."""
-
-
 _HEADER_HANDLERS = {
     "content-length": TargetConnection.handle_length,
     "transfer-encoding": TargetConnection.handle_length,
--- a/src/jujubetiller/transports/_body_producer.py
+++ b/src/jujubetiller/transports/_body_producer.py
@@ -20,7 +20,12 @@
     ``on_end`` is called once the last part is written.
     """
 
-    def __init__(self, transport: Any, body: bytes, on_end: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        transport: Any,
+        body: bytes,
+        on_end: Callable[[], None] = lambda: None,
+    ) -> None:
         self.transport = transport
         self.body = body
         self.position = 0
@@ -44,7 +49,7 @@
         if self.position >= len(self.body):
             self.stopProducing()
             self.transport.unregisterProducer()
-            on_end, self.on_end = self.on_end, _do_nothing
+            on_end, self.on_end = self.on_end, lambda: None
             on_end()
 
     def stopProducing(self) -> None:
@@ -66,7 +71,3 @@
     if not isinstance(transport, abstract.FileDescriptor):
         return 0
     return len(transport.dataBuffer) - transport.offset + transport._tempDataLen
-
-
-def _do_nothing() -> None:
-    """Replace an ``on_end`` that was called."""
