--- a/src/jujubetiller/target/_target_connection.py
+++ b/src/jujubetiller/target/_target_connection.py
@@ -10,6 +10,7 @@
 from jujubetiller import buffers, calls, codes, transports
 from jujubetiller.target import (
     _response_size,
+    _response_statuses,
     _target_call,
     _target_request,
     _target_response,
@@ -29,15 +30,6 @@
 
 LOWEST_FINAL_STATUS = 200
 
-SWITCHING_PROTOCOLS = 101
-
-INTERIM_STATUSES = frozenset(range(100, 200)) - {SWITCHING_PROTOCOLS}
-"""Also those that are not known: a client may ignore them (RFC 9110, 15.2)."""
-
-MAX_INTERIM = 32
-"""Interim responses before the final one. Targets send one or two, and a progress
-report (102) every few seconds at most."""
-
 REMEMBERED_ECHOES = 8
 """Latest requests of a connection whose second answer may still arrive."""
 
@@ -67,12 +59,7 @@
         self.received_any = False
         self.head_is_complete = False
         self.is_complete = False
-        self.is_invalid = False
-        """Whether the response can never be passed on."""
-
-        self.interim_count = 0
-        """Interim responses to the request in progress."""
-
+        self.statuses = _response_statuses.ResponseStatuses()
         self.keep_alive = False
         self.status = 0
         self.echoed: str | None = None
@@ -109,8 +96,8 @@
         call.sent_at_ms = self.client.clock.now_ms()
         self.requests_sent += 1
         self.received_any = False
-        self.is_complete = self.is_invalid = False
-        self.interim_count = 0
+        self.is_complete = False
+        self.statuses.start_request()
         if call.request.echo is not None:
             echoes = (*self.recent_echoes, call.request.echo[1])
             self.recent_echoes = echoes[-REMEMBERED_ECHOES:]
@@ -156,7 +143,7 @@
                 self.fail_invalid()
                 return
             self.keep_alive = False
-        if self.is_invalid:
+        if self.statuses.is_invalid:
             self.fail_invalid()
             return
         max_answer_bytes = self.client.settings.max_answer_bytes
@@ -231,27 +218,14 @@
         """Complete a response to HEAD, which has no body even with a Content-Length."""
         if self.is_complete or self.parser is None:
             return
-        self.check_status(self.parser.get_status_code())
-        if self.is_invalid:
+        self.statuses.record(self.parser.get_status_code(), self.has_length)
+        if self.statuses.is_invalid:
             return
         self.head_is_complete = True
         self.size.complete_head(len(self.response_headers))
         if self.call is not None and self.call.request.method == "HEAD":
             self.on_message_complete()
 
-    def check_status(self, status: int) -> None:
-        """Record whether a response with this status can never be passed on.
-
-        101 is invalid, as nothing asked for another protocol. An interim response has
-        no body, so one that names a length is meant as the final one.
-        """
-        if status in INTERIM_STATUSES:
-            self.interim_count += 1
-            too_many = self.interim_count > MAX_INTERIM
-            self.is_invalid = self.is_invalid or too_many or self.has_length
-        elif status not in calls.FINAL_STATUSES:
-            self.is_invalid = True
-
     def on_body(self, data: bytes) -> None:
         """Store a part of the body, up to the size limit."""
         if self.is_complete:
@@ -262,7 +236,7 @@
 
     def on_message_complete(self) -> None:
         """Complete the response; discard an interim one or one to another request."""
-        if self.is_complete or self.parser is None or self.is_invalid:
+        if self.is_complete or self.parser is None or self.statuses.is_invalid:
             return
         self.status = self.parser.get_status_code()
         if self.status < LOWEST_FINAL_STATUS:
