--- a/src/jujubetiller/settings/_fields.py
+++ b/src/jujubetiller/settings/_fields.py
@@ -15,11 +15,7 @@
     """Return a field for a whole number from ``lowest`` to ``highest``."""
 
     def check(instance: object, attribute: Any, value: int) -> None:
-        if not lowest <= value <= highest:
-            raise schema.FieldError(
-                attribute.name,
-                f"allowed are whole numbers from {lowest} to {highest}, got {value}",
-            )
+        _check_range(attribute, value, lowest, highest, "whole numbers")
 
     return attrs.field(
         default=default,
@@ -32,11 +28,8 @@
     """Return a field for None or a whole number from ``lowest`` to ``highest``."""
 
     def check(instance: object, attribute: Any, value: int | None) -> None:
-        if value is not None and not lowest <= value <= highest:
-            raise schema.FieldError(
-                attribute.name,
-                f"allowed are whole numbers from {lowest} to {highest}, got {value}",
-            )
+        if value is not None:
+            _check_range(attribute, value, lowest, highest, "whole numbers")
 
     return attrs.field(
         default=None,
@@ -49,11 +42,7 @@
     """Return a field for a real number from ``lowest`` to ``highest``."""
 
     def check(instance: object, attribute: Any, value: float) -> None:
-        if not lowest <= value <= highest:
-            raise schema.FieldError(
-                attribute.name,
-                f"allowed are numbers from {lowest} to {highest}, got {value}",
-            )
+        _check_range(attribute, value, lowest, highest, "numbers")
 
     return attrs.field(
         default=default,
@@ -84,3 +73,14 @@
     return attrs.field(
         default=default, validator=check, metadata={ALLOWED: ", ".join(allowed)}
     )
+
+
+def _check_range(
+    attribute: Any, value: float, lowest: float, highest: float, kind: str
+) -> None:
+    """Raise ``schema.FieldError`` for a value outside the range."""
+    if not lowest <= value <= highest:
+        raise schema.FieldError(
+            attribute.name,
+            f"allowed are {kind} from {lowest} to {highest}, got {value}",
+        )
