Split the mesh node and the directory of instances

What a new version of the configuration changes is applied by ConfigurationEffects; an entry of the directory and the comparison of entries have a module.

--- a/src/jujubetiller/mesh/_instance_directory.py
+++ b/src/jujubetiller/mesh/_instance_directory.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Callable
 
-import attrs
 import logbook
 import result
 
 from jujubetiller import published, routing, settings
+from jujubetiller.mesh import _listed_instance
+
+_Listed = _listed_instance.ListedInstance
 
 MAX_REMOVED = 4_096
 
@@ -16,19 +18,6 @@
 _LOG = logbook.Logger("jujubetiller.mesh")
 
 
-@attrs.define
-class _Listed:
-    """An instance and the revision of its last report."""
-
-    instance: published.PublishedInstance
-    revision: published.Revision
-    is_replaced: bool = False
-    """Whether a newer instance is listed at the same address."""
-
-    routable: routing.RoutableInstance | None = None
-    """The form that the router uses, once it was made."""
-
-
 class InstanceDirectory:
     """Tracks the published instances and updates the router.
 
@@ -203,7 +192,7 @@
             return
         known = self.listed.get(name)
         last = self.removed.get(name) if known is None else known.instance
-        if last is not None and _is_older(decoded.ok_value, last):
+        if last is not None and _listed_instance.is_older(decoded.ok_value, last):
             _LOG.info("older report ignored", extra={"instance": name})
             return
         self.pending_removals.pop(name, None)
@@ -229,7 +218,7 @@
         for listed in usable:
             address = listed.instance.address
             other = newest.get(address)
-            if other is None or _is_newer(listed, other):
+            if other is None or _listed_instance.is_newer(listed, other):
                 newest[address] = listed
         for listed in usable:
             is_replaced = newest[listed.instance.address] is not listed
@@ -257,45 +246,5 @@
         self.node_count = len({listed.instance.address.host for listed in usable})
         self.service_count = len({listed.instance.service for listed in usable})
         self.router.update_instances(
-            make_routable(listed, self.peer_port) for listed in usable
+            _listed_instance.make_routable(listed, self.peer_port) for listed in usable
         )
-
-
-def _is_newer(listed: _Listed, other: _Listed) -> bool:
-    """Return whether ``listed`` is newer than ``other`` at the same address."""
-    return (listed.instance.started_unix_ms, listed.revision) > (
-        other.instance.started_unix_ms,
-        other.revision,
-    )
-
-
-def _is_older(
-    report: published.PublishedInstance, known: published.PublishedInstance
-) -> bool:
-    """Return whether ``report`` was made before ``known``."""
-    if not report.started_unix_ms or not known.started_unix_ms:
-        return False
-    return (report.started_unix_ms, report.sequence) < (
-        known.started_unix_ms,
-        known.sequence,
-    )
-
-
-def make_routable(listed: _Listed, peer_port: int) -> routing.RoutableInstance:
-    """Return the form of a listed instance that the router uses."""
-    if listed.routable is not None:
-        return listed.routable
-    instance = listed.instance
-    listed.routable = routing.RoutableInstance(
-        instance=instance.instance,
-        service=instance.service,
-        zone=instance.zone,
-        host=instance.address.host,
-        peer_port=peer_port,
-        incarnation=instance.started_unix_ms,
-        boot_id=str(instance.started_unix_ms),
-        leaving=instance.draining or listed.is_replaced,
-        slow_start_ms=instance.slow_start_ms,
-        slots=instance.slots,
-    )
-    return listed.routable
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -21,7 +21,7 @@
 )
 from jujubetiller.mesh import (
     _build_parts,
-    _class_order,
+    _configuration_effects,
     _drain,
     _egress_site,
     _header_names,
@@ -30,7 +30,6 @@
     _mesh_counters,
     _peer_calls,
     _peer_prober,
-    _proof_interval,
     _quota_exchange,
     _service_peers,
     _state_exchange,
@@ -38,7 +37,6 @@
     _status_sites,
     _store_reading,
     _store_stability,
-    _team_admission,
 )
 
 _LOG = logbook.Logger("jujubetiller.mesh")
@@ -52,10 +50,6 @@
 """Part of the own instance's slots that are used: some instances slow down when their
 last slots are occupied."""
 
-MIN_HEAD_BYTES = 65_536
-"""Lowest bound on the size of a request head: the bytes of pipelined requests that
-arrive behind the head count towards it."""
-
 PIPELINE_DEPTH = 8
 """Requests of one connection that are processed concurrently."""
 
@@ -133,15 +127,13 @@
             _service_peers.ServicePeers(self.parts),
         )
         self.load_log = _load_log.LoadLog(self.parts)
-        self.team_admission = _team_admission.TeamAdmission(self.parts)
-        self.class_order = _class_order.ClassOrder(self.parts)
-        self.proof_interval = _proof_interval.ProofInterval(self.parts, self.reading)
+        self.effects = _configuration_effects.ConfigurationEffects(
+            self.parts, self.reading
+        )
         self.ports: dict[str, interfaces.IListeningPort] = {}
         self.peer_address = node_settings.listen.peer
         self.edges: dict[str, edge.EdgeFactory] = {}
         self.draining: _drain.Drain | None = None
-        self.applied_version = 0
-        """Version of the configuration that the directory and the edge apply."""
 
     def start(self) -> None:
         """Open the listeners and start to read the store.
@@ -233,13 +225,7 @@
         self.reading.apply_instances()
         self.exchange.start_comparison.begin()
         self.crash_exchange.ask_at_start()
-        if self.applied_version != self.parts.configuration.version:
-            self.applied_version = self.parts.configuration.version
-            self.parts.directory.refresh()
-            self.apply_bounds()
-            self.team_admission.apply()
-            self.class_order.apply()
-            self.proof_interval.apply()
+        self.effects.apply(self.edges.get("egress"))
         self.parts.quota.apply()
         own = self.parts.directory.own
         if own is None:
@@ -249,28 +235,13 @@
         if slots != self.parts.guard.slots:
             self.parts.guard.set_slots(slots)
 
-    def apply_bounds(self) -> None:
-        """Apply the configuration's bounds on clients' requests."""
-        configuration = self.parts.configuration.current
-        factory = self.edges.get("egress")
-        if configuration is None or not isinstance(factory, edge.PipelinedFactory):
-            return
-        bounds = configuration.bounds
-        factory.idle_ms = bounds.idle_timeout_ms
-        factory.head_timeout_ms = bounds.header_timeout_ms
-        factory.max_head_bytes = max(bounds.max_header_bytes, MIN_HEAD_BYTES)
-        factory.max_header_bytes = bounds.max_header_bytes
-        factory.max_body_bytes = min(
-            bounds.max_body_bytes, self.settings.streams.max_body_bytes
-        )
-
     def run_housekeeping(self) -> None:
         """Run the periodic tasks and schedule their next run."""
         has_removals = bool(self.parts.directory.pending_removals)
         pause_ms = REMOVALS_INTERVAL_MS if has_removals else HOUSEKEEPING_INTERVAL_MS
         # Scheduled first, so that an exception below does not end the tasks.
         self.reactor.callLater(pause_ms / 1000.0, self.run_housekeeping)
-        self.team_admission.apply()
+        self.effects.team_admission.apply()
         self.parts.directory.apply_removals()
         if has_removals:
             self.reading.confirm_removals()
@@ -290,7 +261,7 @@
         self.settings = node_settings
         self.parts.settings = node_settings
         self.parts.keys.settings = node_settings.teams
-        self.proof_interval.apply()
+        self.effects.proof_interval.apply()
         self.parts.target.settings = node_settings.target
         if "target" in changed:
             # Kept-alive connections lead to the old address.
