--- a/src/jujubetiller/limits/_learned_limit_policy.py
+++ b/src/jujubetiller/limits/_learned_limit_policy.py
@@ -145,9 +145,7 @@
                 self._end_trial_window(trial, window, now_ms)
             else:
                 self._end_trial(trial.high)
-        elif trial is not None and window.lacks_calls(
-            now_ms, _BUSY_SHARE * int(self.limit)
-        ):
+        elif trial is not None and window.lacks_calls(now_ms, self._busy_in_flight()):
             self._end_trial(trial.high)
             self.window = _run_window.start_window(now_ms, self.averages.run_ms)
         elif not self.trials and self._may_raise_early(window, now_ms):
@@ -157,25 +155,25 @@
     def _start_limit(self) -> float:
         return float(max(self.lowest, int(START_SHARE * self.highest)))
 
+    def _busy_in_flight(self) -> float:
+        """Return the calls in progress from which the limit counts as reached."""
+        return _BUSY_SHARE * int(self.limit)
+
     def _may_raise_early(self, window: _run_window.RunWindow, now_ms: float) -> bool:
         """Return whether the limit is reached and nothing speaks against more."""
         return (
             self.limit < self.highest
             and now_ms - window.started_at_ms >= _GROWTH_MS
             and window.ended >= _MIN_ENDED
-            and window.ended_in_flight() >= _BUSY_SHARE * int(self.limit)
+            and window.ended_in_flight() >= self._busy_in_flight()
             and self.averages.smoothed_ratio <= ELEVATED_RATIO * self.accepted_ratio
         )
 
-    def _is_busy(self, window: _run_window.RunWindow) -> bool:
-        """Return whether the limit was reached during most of the window."""
-        return window.in_flight() >= _BUSY_SHARE * int(self.limit)
-
     def _end_steady_window(self, window: _run_window.RunWindow, now_ms: float) -> None:
         ratio = self.averages.correct_baselines(window)
         if ratio < self.accepted_ratio:
             self.accepted_ratio = max(1.0, (self.accepted_ratio + ratio) / 2.0)
-        if not self._is_busy(window):
+        if window.in_flight() < self._busy_in_flight():
             return
         is_elevated = ratio > ELEVATED_RATIO * self.accepted_ratio or (
             ratio > ELEVATED_RATIO and now_ms >= self.recheck_at_ms
@@ -220,7 +218,7 @@
         window: _run_window.RunWindow,
         now_ms: float,
     ) -> None:
-        if not self._is_busy(window):
+        if window.in_flight() < self._busy_in_flight():
             # Too few calls for the limit: the comparison shows nothing.
             self._end_trial(trial.high)
             return
