--- a/tests/edge/test_large_answers.py
+++ b/tests/edge/test_large_answers.py
@@ -154,16 +154,22 @@
     assert account.closed == 2
 
 
-def test_a_slow_reader_has_longer_than_one_that_sends_nothing() -> None:
-    """Guards against slow readers that are closed between two steps of their system."""
-    time_source = clock.ManualClock(1_000)
-    account = memory.MemoryAccount(time_source, LARGE_BYTES)
+def send_large_answer(account: memory.MemoryAccount) -> SlowSocket:
+    """Return the transport of a client that takes a large answer step by step."""
     listener = recording.Listener(factory_class=edge.PipelinedFactory, account=account)
     channel = listener.factory.buildProtocol(None)
     transport = SlowSocket()
     channel.makeConnection(transport)
     channel.dataReceived(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
     listener.handler.replies[0](edge.EdgeReply(200, [], bytes(LARGE_BYTES)))
+    return transport
+
+
+def test_a_slow_reader_has_longer_than_one_that_sends_nothing() -> None:
+    """Guards against slow readers that are closed between two steps of their system."""
+    time_source = clock.ManualClock(1_000)
+    account = memory.MemoryAccount(time_source, LARGE_BYTES)
+    transport = send_large_answer(account)
     relief = memory.Relief(account)
     for _ in range(3):
         relief.check()
@@ -185,12 +191,7 @@
     monkeypatch.setattr("tests.edge.test_large_answers.TAKEN_BYTES", taken_bytes)
     time_source = clock.ManualClock(1_000)
     account = memory.MemoryAccount(time_source, LARGE_BYTES)
-    listener = recording.Listener(factory_class=edge.PipelinedFactory, account=account)
-    channel = listener.factory.buildProtocol(None)
-    transport = SlowSocket()
-    channel.makeConnection(transport)
-    channel.dataReceived(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
-    listener.handler.replies[0](edge.EdgeReply(200, [], bytes(LARGE_BYTES)))
+    transport = send_large_answer(account)
     relief = memory.Relief(account)
     for _ in range(3):
         relief.check()
