--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,81 +1,81 @@
-"""A client sends requests ahead while the instances are slow."""
+"""The nodes that read the store are killed while an instance leaves."""
 
 import asyncio
+import signal
 
-from review.second import client, http, site
+from review.second import machine, site
 
-TIMEOUT_S = 1.2
-LIMIT_S = 2.5
-SLACK_S = 0.5
-AHEAD = 32
-USUAL_S = 0.22
-SLOW_S = 1.0
+DRAIN_S = 2.0
+SERVES_ON_S = 2.3
+RESTART_S = 0.5
+SETTLING_S = 50.0
+
+MOST_KILLED = 6
+"""Half of the machines; the sheet's site file kills 0.55 of them at once."""
 
 SERVICES = {"swatch": 3, "booth": 3, "tracker": 3, "ledger": 3}
 
 
-async def send_ahead(played: site.Site, name: str, prefix: str) -> list[client.Sent]:
-    """Send requests on one connection before the first is answered."""
-    caller = played.machines[name]
-    reader, writer = await asyncio.open_connection(caller.host, caller.port("egress"))
-    requests = []
-    for number in range(AHEAD):
-        sent = client.Sent(f"{prefix}{number:03d}", caller.name, played.now(), "")
-        sent.path = f"/job/{sent.request}"
-        headers = client.make_headers(sent.request, int(LIMIT_S * 1000))
-        writer.write(http.encode_request("GET", sent.path, headers))
-        requests.append(sent)
-    try:
-        async with asyncio.timeout(LIMIT_S):
-            for sent in requests:
-                answer = await http.read_message(reader)
-                sent.status, sent.answered_at = answer.status, played.now()
-                sent.body = answer.body.decode("latin-1").strip()
-    except (*http.CLOSED, TimeoutError):
-        pass
-    writer.close()
-    played.sent += requests
-    return requests
+async def restart(killed: list[machine.Machine]) -> None:
+    """Start killed nodes again after a short delay, as the platform does."""
+    await asyncio.sleep(RESTART_S)
+    for each in killed:
+        each.end()
+        each.start()
 
 
 async def play(played: site.Site, has_trouble: bool) -> bool:
     """Play the case."""
-    rule = site.make_rule(
-        "job",
-        "/job/",
-        "tracker",
-        "idempotent",
-        timeout=f"{TIMEOUT_S * 1000:.0f}ms",
-        target_latency="600ms",
+    await played.start([site.make_rule("book", "/book/", "booth")])
+    readers = list(played.machines.values())
+    ends_at = played.now() + SETTLING_S
+    while len(readers) > MOST_KILLED and played.now() < ends_at:
+        await asyncio.sleep(1.0)
+        readers = [each for each in played.machines.values() if each.is_reader()]
+    rest = [each for each in played.machines.values() if each not in readers]
+    played.note("read the store: " + ", ".join(each.name for each in readers))
+    leaving = next(
+        (each for each in rest if each.instance.service == "booth"),
+        None,
     )
-    await played.start([rule])
+    callers = [each.instance.name for each in rest if each is not leaving]
+    if leaving is None or len(readers) > MOST_KILLED or not callers:
+        raise site.CaseError("the readers are not chosen as the case needs it")
     for each in played.machines.values():
-        each.instance.work_s = USUAL_S
-    for number in range(5):
-        await send_ahead(played, "ledger-1", f"w{number}-")
+        each.instance.work_s = 0.3
+    traffic = asyncio.create_task(
+        played.send_steadily(callers, "b", "/book/", 0.02, played.now() + 12.0)
+    )
+    await asyncio.sleep(2.0)
+    again = None
     if has_trouble:
-        for each in played.machines.values():
-            if each.instance.service == "tracker":
-                each.instance.work_s = SLOW_S
-        played.note(f"the instances of tracker take {SLOW_S} s in place of {USUAL_S} s")
-    requests = []
-    for number in range(3):
-        requests += await send_ahead(played, "ledger-1", f"r{number}-")
-        await asyncio.sleep(0.5)
-    open_ = [s for s in requests if not s.status or took(s) > TIMEOUT_S]
-    late = [s for s in open_ if not s.status or took(s) > TIMEOUT_S + SLACK_S]
-    never = [s for s in requests if not s.status]
+        for each in readers:
+            each.signal(signal.SIGKILL)
+        played.note(f"{len(readers)} nodes are killed at the same moment")
+        again = asyncio.create_task(restart(readers))
+    await asyncio.sleep(0.1)
+    name = leaving.instance.name
+    acked_at = played.store.remove(f"servers/{name}")
+    played.note(f"the entry of {name} is removed; it serves on")
+    await asyncio.sleep(SERVES_ON_S)
+    leaving.instance.stop()
+    played.note(f"{name} has ended")
+    late = [at for at, _ in leaving.instance.arrivals if at > acked_at + DRAIN_S]
     played.note(
-        f"of {len(requests)} requests {len(open_)} are unanswered at the route's "
-        f"timeout, {len(late)} of them {SLACK_S} s later, and {len(never)} get no "
-        "answer within the client's limit"
+        f"requests that reached {name} more than {DRAIN_S} s after the ack: "
+        f"{len(late)}, the last {max(late, default=acked_at) - acked_at:.2f} s after it"
     )
-    return len(open_) >= 8 and 2 * len(late) > len(open_)
-
-
-def took(sent: client.Sent) -> float:
-    """Return how long a request took."""
-    return sent.answered_at - sent.sent_at
+    await traffic
+    if again is not None:
+        await again
+    succeeded = {sent.request for sent in played.sent if sent.status == 200}
+    lost = [
+        run
+        for run in played.runs
+        if run.instance == name and run.at > acked_at and run.request not in succeeded
+    ]
+    played.note(f"requests that ran there since and were not answered: {len(lost)}")
+    return bool(late)
 
 
 if __name__ == "__main__":
--- a/review/second/site.py
+++ b/review/second/site.py
@@ -135,7 +135,13 @@
         return sent
 
     async def send_steadily(
-        self, names: list[str], prefix: str, path: str, gap_s: float, until: float
+        self,
+        names: list[str],
+        prefix: str,
+        path: str,
+        gap_s: float,
+        until: float,
+        method: str = "POST",
     ) -> None:
         """Send a request from each machine in turn, every ``gap_s``, and wait."""
         tasks = []
@@ -144,7 +150,9 @@
             number += 1
             name = names[number % len(names)]
             request = f"{prefix}{number:06d}"
-            task = asyncio.create_task(self.send(name, request, f"{path}{number}"))
+            task = asyncio.create_task(
+                self.send(name, request, f"{path}{number}", method=method)
+            )
             tasks.append(task)
             await asyncio.sleep(gap_s)
         await asyncio.gather(*tasks)
