--- a/review/9/case.py
+++ b/review/9/case.py
@@ -8,7 +8,8 @@
 DRAIN_S = 2.0
 SERVES_ON_S = 2.3
 RESTART_S = 0.5
-SETTLING_S = 50.0
+SETTLING_S = 60.0
+STEADY_S = 8.0
 
 MOST_KILLED = 6
 """Half of the machines; the sheet's site file kills 0.55 of them at once."""
@@ -24,14 +25,25 @@
         each.start()
 
 
+async def find_readers(played: site.Site) -> list[machine.Machine]:
+    """Return the nodes that read the store, once that has not changed for a while."""
+    readers = list(played.machines.values())
+    ends_at = played.now() + SETTLING_S
+    steady_from = played.now()
+    while played.now() < ends_at:
+        await asyncio.sleep(0.5)
+        now = [each for each in played.machines.values() if each.is_reader()]
+        if now != readers or len(now) > MOST_KILLED:
+            readers, steady_from = now, played.now()
+        elif played.now() - steady_from >= STEADY_S:
+            return readers
+    raise site.CaseError("the readers are not steady")
+
+
 async def play(played: site.Site, has_trouble: bool) -> bool:
     """Play the case."""
     await played.start([site.make_rule("book", "/book/", "booth")])
-    readers = list(played.machines.values())
-    ends_at = played.now() + SETTLING_S
-    while len(readers) > MOST_KILLED and played.now() < ends_at:
-        await asyncio.sleep(1.0)
-        readers = [each for each in played.machines.values() if each.is_reader()]
+    readers = await find_readers(played)
     rest = [each for each in played.machines.values() if each not in readers]
     played.note("read the store: " + ", ".join(each.name for each in readers))
     leaving = next(
@@ -39,12 +51,12 @@
         None,
     )
     callers = [each.instance.name for each in rest if each is not leaving]
-    if leaving is None or len(readers) > MOST_KILLED or not callers:
+    if leaving is None or not callers:
         raise site.CaseError("the readers are not chosen as the case needs it")
     for each in played.machines.values():
         each.instance.work_s = 0.3
     traffic = asyncio.create_task(
-        played.send_steadily(callers, "b", "/book/", 0.02, played.now() + 12.0)
+        played.send_steadily(callers, "b", "/book/", 0.01, played.now() + 8.0)
     )
     await asyncio.sleep(2.0)
     again = None
