Test series of crowds, connections, other listeners and unread output

The existing tests play one crowd on a fresh node with bodies that are small beside the limit. These play crowds in a row and at once with bodies of legal size that are large beside it, more connections than the descriptors allow, all listeners, and a node whose output nobody reads. They check that the processes live, their peak memory, their sockets, and that ordinary requests are answered.

The crowds and bounds are fixed here, before the product changes.

The stand-in site can give a node a small pipe for its output, and knows the port of the metrics.

--- a/standins/mesh_site/_local_mesh_site.py
+++ b/standins/mesh_site/_local_mesh_site.py
@@ -17,7 +17,7 @@
 
 
 LOG_BYTES = 1_048_576
-"""What a node may log before somebody reads it."""
+"""More than a node logs in a test."""
 
 
 def find_port_base() -> int:
@@ -44,6 +44,9 @@
         self.teams: list[dict[str, Any]] = []
         """The teams of the configuration, in the platform's format."""
 
+        self.log_bytes = LOG_BYTES
+        """What a node may log before somebody reads it."""
+
         self.base = find_port_base()
         instances = [
             {"name": name, "service": name.partition("-")[0], "host": host}
@@ -118,8 +121,8 @@
         process = subprocess.Popen(
             [sys.executable, "-m", "jujubetiller", "mesh"],
             stdout=subprocess.PIPE,
-            # Tests read few lines, and a node waits when its output is not read.
-            pipesize=LOG_BYTES,
+            # Tests read few lines of the output.
+            pipesize=self.log_bytes,
             text=True,
             env={
                 **os.environ,
--- a/standins/mesh_site/_mesh_process.py
+++ b/standins/mesh_site/_mesh_process.py
@@ -15,7 +15,14 @@
 LOG_TIMEOUT_S = 120.0
 """A node that has not logged an expected line by then is killed: the test fails."""
 
-OFFSETS = {"instance": 1, "readiness": 2, "egress": 4, "peer": 5, "last": 9}
+OFFSETS = {
+    "instance": 1,
+    "readiness": 2,
+    "egress": 4,
+    "peer": 5,
+    "metrics": 6,
+    "last": 9,
+}
 """Port of each listener, relative to the port base; the same on all hosts."""
 
 
--- a/tests/mesh/hostile_clients.py
+++ b/tests/mesh/hostile_clients.py
@@ -21,8 +21,8 @@
 class Crowd:
     """Connections that stay open until the crowd is closed."""
 
-    def __init__(self, node: mesh_site.MeshProcess) -> None:
-        self.address = node.host, node.ports + mesh_site.OFFSETS["egress"]
+    def __init__(self, node: mesh_site.MeshProcess, listener: str = "egress") -> None:
+        self.address = node.host, node.ports + mesh_site.OFFSETS[listener]
         self.sockets: list[socket.socket] = []
 
     def run(self, clients: int, make_parts: Callable[[], Iterable[bytes]]) -> None:
@@ -42,8 +42,8 @@
 
     def close(self) -> None:
         """Close all connections."""
-        for connection in self.sockets:
-            connection.close()
+        while self.sockets:
+            self.sockets.pop().close()
 
 
 def repeat(start: bytes, unit: bytes, total_bytes: int) -> Iterable[bytes]:
@@ -70,6 +70,13 @@
         yield chunk * in_segment
 
 
+def send_one_chunk(chunk_bytes: int, sent: int) -> Iterable[bytes]:
+    """Yield a head and ``sent`` bytes of a single chunk of ``chunk_bytes``."""
+    yield HEAD + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % chunk_bytes
+    for _ in range(sent // SEGMENT_BYTES):
+        yield b"x" * SEGMENT_BYTES
+
+
 def read_peak_mb(node: mesh_site.MeshProcess) -> float:
     """Return the highest resident memory of the process so far."""
     status = pathlib.Path(f"/proc/{node.process.pid}/status").read_text()
@@ -78,6 +85,16 @@
     return int(found.group(1)) / 1024.0
 
 
+def count_sockets(node: mesh_site.MeshProcess) -> int:
+    """Return the number of open sockets of the process."""
+    number = 0
+    for descriptor in pathlib.Path(f"/proc/{node.process.pid}/fd").iterdir():
+        # A descriptor may be closed meanwhile.
+        with contextlib.suppress(OSError):
+            number += os.readlink(descriptor).startswith("socket:")
+    return number
+
+
 def count_descriptors(node: mesh_site.MeshProcess) -> int:
     """Return the number of open descriptors of the process."""
     return len(os.listdir(f"/proc/{node.process.pid}/fd"))
--- /dev/null
+++ b/tests/mesh/test_large_single_requests.py
@@ -0,0 +1,71 @@
+"""Guards against limits on memory that refuse a single request of legal size.
+
+The nodes have the least memory that the platform gives them.
+"""
+
+import contextlib
+import pathlib
+import socket
+from collections.abc import Iterable, Iterator
+
+import pytest
+
+from standins import mesh_site
+from tests.mesh import hostile_clients
+
+MEMORY_MB = 200
+MAX_BODY_BYTES = 67_108_864
+"""The largest body that the sample configuration allows."""
+
+BYTEWISE_BODY_BYTES = 4_194_304
+ANSWER_TIMEOUT_S = 240.0
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+@pytest.fixture
+def site(tmp_path: pathlib.Path) -> Iterator[mesh_site.LocalMeshSite]:
+    with contextlib.ExitStack() as stack:
+        started = mesh_site.LocalMeshSite(tmp_path, stack)
+        started.extra_settings = f"[limits]\nmemory_mb = {MEMORY_MB}\n"
+        started.start()
+        yield started
+
+
+def ask(node: mesh_site.MeshProcess, parts: Iterable[bytes]) -> bytes:
+    """Send a request and return the first line of the answer."""
+    address = node.host, node.ports + mesh_site.OFFSETS["egress"]
+    with socket.create_connection(address, ANSWER_TIMEOUT_S) as connection:
+        for part in parts:
+            connection.sendall(part)
+        with connection.makefile("rb") as answer:
+            return answer.readline()
+
+
+def end_chunks(parts: Iterable[bytes], end: bytes) -> Iterator[bytes]:
+    """Yield ``parts``, then ``end`` and the end of a body in chunks."""
+    yield from parts
+    yield end + LAST_CHUNK
+
+
+def test_single_requests_of_the_largest_size(site: mesh_site.LocalMeshSite) -> None:
+    node = site.nodes["ledger-1"]
+    requests = {
+        "with a length": hostile_clients.send_body(
+            MAX_BODY_BYTES, MAX_BODY_BYTES, 65_536
+        ),
+        "in one chunk": end_chunks(
+            hostile_clients.send_one_chunk(MAX_BODY_BYTES, MAX_BODY_BYTES), b"\r\n"
+        ),
+        "in chunks of 64 KB": end_chunks(
+            hostile_clients.send_chunks(MAX_BODY_BYTES, 65_536), b""
+        ),
+        "in chunks of 1 byte": end_chunks(
+            hostile_clients.send_chunks(BYTEWISE_BODY_BYTES, 1), b""
+        ),
+    }
+    for form, parts in requests.items():
+        assert ask(node, parts).startswith(b"HTTP/1.1 200 "), form
+    assert node.ask("/get/1", "after")[0] == 200
+    for process in site.nodes.values():
+        assert process.process.poll() is None
+        assert hostile_clients.read_peak_mb(process) <= MEMORY_MB
