Close connections without a request to make room for new ones

Callers saw: while some 2,000 connections with half a head were open at a node, new connections, also those of ordinary callers, were closed without a word until the heads timed out.

Cause: at max_connections a listener refused whatever came next. A client that sends nothing, or never the end of its request, kept its place.

Change: a listener without room closes the connections that have no request under way: first those that are idle or in a head, then incomplete bodies, then those that take no answer, each in the order of their latest answer, so that sending a little keeps no place. A request that was being read is refused as not run (503, new code 110). Only if all connections are busy is a new one closed. One fiftieth is closed at once, so that the comparison of all connections is rare.

Evidence: tests/edge/test_eviction.py fails on the code before (no connection is closed, the new one is refused). In test_edge.py the test of refused connections was about idle ones; for this kind of listener it now occupies them with requests, and the other kind is tested both ways, so it checks more than before.

--- a/src/jujubetiller/codes/_code_table.py
+++ b/src/jujubetiller/codes/_code_table.py
@@ -78,6 +78,13 @@
         True,
         "The node holds as many bytes for requests as its settings allow.",
     ),
+    (
+        _Code.TOO_MANY_CONNECTIONS,
+        _NOT_RUN,
+        503,
+        True,
+        "The node holds as many connections as its settings allow.",
+    ),
     (
         _Code.NO_INSTANCE,
         _NOT_RUN,
--- a/src/jujubetiller/edge/_connection_memory.py
+++ b/src/jujubetiller/edge/_connection_memory.py
@@ -2,7 +2,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from jujubetiller import memory, transports
+from jujubetiller import codes, memory, transports
 
 if TYPE_CHECKING:
     from jujubetiller.edge import _pipelined_connection
@@ -49,7 +49,7 @@
             return
         if holder.held_bytes > memory.SMALL_BYTES and self.account.is_exhausted():
             self.account.refused += 1
-            self.connection.refuse_for_memory()
+            self.connection.refuse_request(codes.ResultCode.NODE_MEMORY_FULL)
         elif not self.account.may_grow(holder):
             self.account.paused += 1
             self.held_back = True
@@ -117,6 +117,6 @@
             self.holder.release()
             transport.abortConnection()
             return
-        self.connection.refuse_for_memory()
+        self.connection.refuse_request(codes.ResultCode.NODE_MEMORY_FULL)
         if self.holder.owner is not None:
             self.measure()
--- a/src/jujubetiller/edge/_pipelined_connection.py
+++ b/src/jujubetiller/edge/_pipelined_connection.py
@@ -23,6 +23,7 @@
 _DETAILS = {
     codes.ResultCode.BAD_REQUEST: _NOT_HTTP,
     codes.ResultCode.NODE_MEMORY_FULL: "the node holds too much for other requests",
+    codes.ResultCode.TOO_MANY_CONNECTIONS: "the connection is needed for other clients",
 }
 
 
@@ -61,11 +62,15 @@
         self.sender: transports.BodyProducer | None = None
         """Sends a large answer; further answers wait for its end."""
 
+        self.served_at_ms = 0.0
+        """When the latest answer was written; before that, when the connection was
+        made."""
+
     def connectionMade(self) -> None:
         """Count the connection, and set TCP_NODELAY to send small answers at once."""
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
-        self.last_active_ms = self.factory.clock.now_ms()
+        self.last_active_ms = self.served_at_ms = self.factory.clock.now_ms()
         self.factory.channels.add(self)
         if self.factory.account is not None:
             self.memory = _connection_memory.ConnectionMemory(
@@ -182,6 +187,7 @@
         is_last = not self.requests and not self.waiting
         is_final = is_last and (self.is_closing or self.factory.handler.is_draining())
         reply = exchange.reply
+        self.served_at_ms = self.factory.clock.now_ms()
         self.answer_bytes -= len(reply.body)
         is_head = exchange.method == b"HEAD"
         sends_body = not is_head and _encode_reply.has_body(reply)
@@ -232,9 +238,9 @@
         exchange = _exchange.Exchange(b"", keep_alive=False)
         self.start_or_wait(exchange, problem)
 
-    def refuse_for_memory(self) -> None:
+    def refuse_request(self, code: codes.ResultCode) -> None:
         """Refuse the request that is read, which has not run, and close."""
-        code = self.refusal = codes.ResultCode.NODE_MEMORY_FULL
+        self.refusal = code
         self.refuse_and_close(_DETAILS[code], code)
 
     def pause(self) -> None:
--- a/src/jujubetiller/edge/_pipelined_factory.py
+++ b/src/jujubetiller/edge/_pipelined_factory.py
@@ -2,8 +2,15 @@
 
 from typing import Any
 
+from twisted.internet import interfaces
+
 from jujubetiller import clock, memory
-from jujubetiller.edge import _edge_factory, _edge_handler, _pipelined_connection
+from jujubetiller.edge import (
+    _connection_eviction,
+    _edge_factory,
+    _edge_handler,
+    _pipelined_connection,
+)
 
 MAX_HEAD_BYTES = 65_536
 
@@ -44,9 +51,33 @@
         self.account = account
         """The account of the memory that the connections hold; None for none."""
 
+        self.connections_evicted = 0
+        """Connections closed because there was no room for new ones."""
+
         self.head_timeout_ms = HEAD_TIMEOUT_MS
         reactor.callLater(HEAD_CHECK_INTERVAL_MS / 1000.0, self.refuse_slow_heads)
 
+    def buildProtocol(self, address: interfaces.IAddress | None) -> Any:
+        """Return a connection, or ``None`` if all ``max_connections`` are busy.
+
+        Others are closed to make room: a client that sends nothing, or never the end
+        of its request, must not keep new clients away.
+        """
+        if len(self.channels) >= self.max_connections:
+            self.evict()
+        return super().buildProtocol(address)
+
+    def evict(self) -> None:
+        """Close some connections without a request under way."""
+        channels: Any = self.channels
+        for channel in _connection_eviction.choose_evicted(
+            channels, self.max_connections
+        ):
+            self.connections_evicted += 1
+            # The transport reports the close only in a later turn of the reactor.
+            self.channels.discard(channel)
+            _connection_eviction.close_for_room(channel)
+
     def refuse_slow_heads(self) -> None:
         """Refuse requests whose head is incomplete after ``head_timeout_ms``.
 
--- a/src/jujubetiller/mesh/_configuration_effects.py
+++ b/src/jujubetiller/mesh/_configuration_effects.py
@@ -27,7 +27,7 @@
         self.applied_version = 0
         """Version of the configuration that the directory and the edge apply."""
 
-    def apply(self, client_edge: edge.EdgeFactory | None) -> None:
+    def apply(self, client_edge: edge.PipelinedFactory | None) -> None:
         """Apply the configuration in force, if it is a new one.
 
         ``client_edge`` accepts the connections of clients.
@@ -37,9 +37,7 @@
             return
         self.applied_version = configuration.version
         self.parts.directory.refresh()
-        if configuration.current is not None and isinstance(
-            client_edge, edge.PipelinedFactory
-        ):
+        if configuration.current is not None and client_edge is not None:
             bounds = configuration.current.bounds
             apply_bounds(client_edge, bounds, self.parts.settings.streams)
         self.team_admission.apply()
--- a/src/jujubetiller/mesh/_drain.py
+++ b/src/jujubetiller/mesh/_drain.py
@@ -1,6 +1,6 @@
 """The graceful shutdown of a node."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import logbook
 from twisted.internet import defer, interfaces
@@ -29,7 +29,7 @@
         self,
         parts: _mesh_parts.MeshParts,
         ports: dict[str, interfaces.IListeningPort],
-        edges: dict[str, edge.EdgeFactory],
+        edges: Mapping[str, edge.EdgeFactory],
         on_close: Callable[[], None],
     ) -> None:
         self.parts = parts
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -22,6 +22,7 @@
 from jujubetiller.mesh import (
     _build_parts,
     _configuration_effects,
+    _connection_watch,
     _drain,
     _egress_site,
     _header_names,
@@ -132,7 +133,9 @@
         )
         self.ports: dict[str, interfaces.IListeningPort] = {}
         self.peer_address = node_settings.listen.peer
-        self.edges: dict[str, edge.EdgeFactory] = {}
+        self.edges: dict[str, edge.PipelinedFactory] = {}
+        self.connection_watch = _connection_watch.ConnectionWatch(self.edges)
+        self.parts.metrics.export([self.connection_watch.make_group()])
         self.draining: _drain.Drain | None = None
 
     def start(self) -> None:
@@ -248,6 +251,7 @@
         if self.store_stability.have_entries_expired():
             self.state.release_removals()
         self.load_log.write_if_due()
+        self.connection_watch.log_changes()
         self.parts.keys.log_age_change(self.parts.configuration.current)
 
     def reload(self, node_settings: settings.MeshSettings) -> None:
