Divide the descriptors of a process among its listeners

Callers saw: clients that open connections to the listeners of a node could take all its descriptors (2,000 for each of three listeners, 768 streams each way, of 4,100), after which it reaches neither its instance nor its peers. 12 clients that send 24 MB bodies to the readiness or the metrics listener took the node to 83 to 94 MB.

Cause: the limit of the platform (limits.max_fds) was not read, each listener had the same limit on connections, and listeners whose requests have no body kept bodies of up to 64 MiB.

Change: limits.max_fds is read and checked. Half of the sockets are for clients (2,000 at most), 3/16 each for streams from and to peers (768 at most), 1/64 each (4 to 64) for readiness and metrics, whose bodies are limited to 1 KB. The rest is left for connections to the instance and the store. The listeners have moved to mesh/_http_listeners.py; a change of the settings applies to them at once.

--- a/bench/configuration_page.py
+++ b/bench/configuration_page.py
@@ -27,6 +27,7 @@
     ("teams", settings.TeamSettings),
     ("quotas", settings.QuotaSettings),
     ("memory", settings.MemorySettings),
+    ("connections", settings.ConnectionSettings),
 )
 """Sections that only ``jujubetiller mesh`` has and that have tables. ``store`` and
 ``repeats`` are derived from several fields of the TOML file, which the page lists."""
@@ -42,6 +43,7 @@
     "quotas.overshoot": "`bounds.quota_overshoot`",
     "quotas.slack": "`bounds.quota_slack`",
     "memory.limit_mb": "`limits.memory_mb`",
+    "connections.max_descriptors": "`limits.max_fds`",
 }
 """Where fields of ``MESH_SECTIONS`` come from on the users' platform."""
 
--- a/src/jujubetiller/mesh/_mesh_node.py
+++ b/src/jujubetiller/mesh/_mesh_node.py
@@ -13,7 +13,6 @@
 from jujubetiller import (
     clock,
     crashes,
-    edge,
     memory,
     published,
     settings,
@@ -22,10 +21,10 @@
 from jujubetiller.mesh import (
     _build_parts,
     _configuration_effects,
-    _connection_watch,
     _drain,
     _egress_site,
     _header_names,
+    _http_listeners,
     _load_log,
     _memory_watch,
     _mesh_counters,
@@ -51,9 +50,6 @@
 """Part of the own instance's slots that are used: some instances slow down when their
 last slots are occupied."""
 
-PIPELINE_DEPTH = 8
-"""Requests of one connection that are processed concurrently."""
-
 SourceFactory = Callable[[published.PublishedState], published.ItemSource]
 
 
@@ -133,9 +129,7 @@
         )
         self.ports: dict[str, interfaces.IListeningPort] = {}
         self.peer_address = node_settings.listen.peer
-        self.edges: dict[str, edge.PipelinedFactory] = {}
-        self.connection_watch = _connection_watch.ConnectionWatch(self.edges)
-        self.parts.metrics.export([self.connection_watch.make_group()])
+        self.listeners = _http_listeners.HttpListeners(self.parts, self.ports)
         self.draining: _drain.Drain | None = None
 
     def start(self) -> None:
@@ -161,13 +155,13 @@
         self.ports["peer"] = peer_port
         bound: Any = peer_port.getHost()
         self.peer_address = settings.Address(self.settings.listen.peer.host, bound.port)
-        self.listen("egress", _egress_site.EgressSite(parts))
+        self.listeners.open(_http_listeners.EGRESS, _egress_site.EgressSite(parts))
         for name, make_reply in (
-            ("readiness", _status_sites.make_readiness),
-            ("metrics", _status_sites.make_metrics),
+            (_http_listeners.READINESS, _status_sites.make_readiness),
+            (_http_listeners.METRICS, _status_sites.make_metrics),
         ):
             site = _status_sites.StatusSite(functools.partial(make_reply, parts))
-            self.listen(name, site)
+            self.listeners.open(name, site)
         _memory_watch.MemoryWatch(parts).start()
         self.reading.start()
         self.crash_exchange.start()
@@ -182,23 +176,6 @@
             },
         )
 
-    def listen(self, name: str, handler: edge.EdgeHandler) -> None:
-        """Open an HTTP listener that limits its number of connections."""
-        factory = edge.PipelinedFactory(
-            self.reactor,
-            self.parts.clock,
-            handler,
-            self.settings.streams.max_body_bytes,
-            self.settings.limits.max_connections,
-            PIPELINE_DEPTH,
-            account=self.parts.account,
-        )
-        self.edges[name] = factory
-        address = getattr(self.settings.listen, name)
-        self.ports[name] = self.reactor.listenTCP(
-            address.port, factory, interface=address.host
-        )
-
     def own_peer_address(self) -> settings.Address:
         """Return the address of the peer listener, with the port actually bound.
 
@@ -228,7 +205,7 @@
         self.reading.apply_instances()
         self.exchange.start_comparison.begin()
         self.crash_exchange.ask_at_start()
-        self.effects.apply(self.edges.get("egress"))
+        self.effects.apply(self.listeners.edges.get(_http_listeners.EGRESS))
         self.parts.quota.apply()
         own = self.parts.directory.own
         if own is None:
@@ -251,7 +228,7 @@
         if self.store_stability.have_entries_expired():
             self.state.release_removals()
         self.load_log.write_if_due()
-        self.connection_watch.log_changes()
+        self.listeners.watch.log_changes()
         self.parts.keys.log_age_change(self.parts.configuration.current)
 
     def reload(self, node_settings: settings.MeshSettings) -> None:
@@ -272,6 +249,7 @@
             self.parts.target.close()
             self.parts.directory.set_own_address(node_settings.target.address)
         self.parts.budget.apply_settings(node_settings.repeats)
+        self.listeners.apply_settings(node_settings)
         self.parts.account.limit_bytes = memory.find_limit_bytes(
             node_settings.memory.limit_mb
         )
@@ -284,7 +262,7 @@
         """
         if self.draining is None:
             self.draining = _drain.Drain(
-                self.parts, self.ports, self.edges, self.stop_reading
+                self.parts, self.ports, self.listeners.edges, self.stop_reading
             )
             self.draining.start()
         return self.draining.finished
--- a/src/jujubetiller/platform/_settings.py
+++ b/src/jujubetiller/platform/_settings.py
@@ -73,6 +73,8 @@
 
 def _translate(document: dict[str, Any]) -> settings.MeshSettings:
     bounds = _fields.read(document, "bounds", dict)
+    limits = _fields.read(document, "limits", dict, {})
+    connections = _translate_connections(limits)
     return settings.MeshSettings(
         node=_fields.read_text(document, "node_id"),
         service=_fields.read_text(document, "service"),
@@ -88,6 +90,7 @@
             heartbeat_ms=300,
             silent_after_ms=1_000,
             idle_close_ms=IDLE_STREAM_MS,
+            max_streams=connections.count_streams(),
         ),
         limits=settings.LimitSettings(
             policy="fixed",
@@ -99,7 +102,8 @@
         repeats=_translate_repeats(bounds),
         teams=_translate_teams(bounds),
         quotas=_translate_quotas(bounds),
-        memory=_translate_memory(_fields.read(document, "limits", dict, {})),
+        memory=_translate_memory(limits),
+        connections=connections,
         logs=settings.LogSettings(repeats_per_second=REPEATED_LOG_LINES_PER_SECOND),
         grace_ms=int(_fields.read_duration_ms(bounds, "grace", 6_000.0)),
         exchange_ms=_find_exchange_ms(bounds),
@@ -214,6 +218,14 @@
     )
 
 
+def _translate_connections(limits: dict[str, Any]) -> settings.ConnectionSettings:
+    default = settings.ConnectionSettings().max_descriptors
+    lowest, highest = settings.ConnectionSettings.DESCRIPTORS
+    return settings.ConnectionSettings(
+        _fields.read_integer(limits, "max_fds", lowest, default, highest)
+    )
+
+
 def _read_number(
     bounds: dict[str, Any], name: str, default: float, highest: float
 ) -> float:
--- a/src/jujubetiller/settings/__init__.py
+++ b/src/jujubetiller/settings/__init__.py
@@ -1,6 +1,7 @@
 """The settings of a node, written in JSON and checked before use."""
 
 from jujubetiller.settings._address import Address
+from jujubetiller.settings._connection_settings import ConnectionSettings
 from jujubetiller.settings._control_settings import ControlSettings
 from jujubetiller.settings._crash_settings import CrashSettings
 from jujubetiller.settings._feature_settings import FeatureSettings
@@ -27,6 +28,7 @@
 __all__ = [
     "CrashSettings",
     "Address",
+    "ConnectionSettings",
     "ControlSettings",
     "FeatureSettings",
     "KeySettings",
--- a/src/jujubetiller/settings/_mesh_settings.py
+++ b/src/jujubetiller/settings/_mesh_settings.py
@@ -4,6 +4,7 @@
 
 from jujubetiller.settings import (
     _address,
+    _connection_settings,
     _crash_settings,
     _feature_settings,
     _fields,
@@ -57,6 +58,9 @@
     quotas: _quota_settings.QuotaSettings = _quota_settings.QuotaSettings()
     features: _feature_settings.FeatureSettings = _feature_settings.FeatureSettings()
     memory: _memory_settings.MemorySettings = _memory_settings.MemorySettings()
+    connections: _connection_settings.ConnectionSettings = (
+        _connection_settings.ConnectionSettings()
+    )
     logs: _log_settings.LogSettings = _log_settings.LogSettings()
 
     grace_ms: int = _fields.whole_number(6_000, 100, 600_000)
--- a/tests/mesh/test_published_changes.py
+++ b/tests/mesh/test_published_changes.py
@@ -149,7 +149,7 @@
 def test_clients_are_bound_by_the_configuration() -> None:
     node = local_mesh.LocalMesh()
     factory = edge.PipelinedFactory(node.reactor, node.clock, node.site, 1, 1)
-    node.node.edges["egress"] = factory
+    node.node.listeners.edges["egress"] = factory
     limits = {
         "max_header_bytes": 100_000,
         "max_body_bytes": 1_000,
