Refuse requests that wait, and heads with many headers, under pressure

Callers saw: clients that send hundreds of small requests at once on each connection took a node to 166 and 182 MB of 112, and heads with 2,300 headers to 118 and 121 MB.

Cause: a read of 64 KB can bring thousands of requests, each of which occupies 500 bytes and 200 for each header. Reading paused after 64 KB of them, but all of one read were kept, and complete requests were never refused whatever the account held. Heads were counted but not refused before the account was exhausted.

Change: while more than half of the limit is held, a request that has to wait behind 64 KB of others on its connection is refused, as is one with more than 81 headers; at the limit each that has to wait. While less is held nothing changes.

--- a/src/jujubetiller/edge/_connection_memory.py
+++ b/src/jujubetiller/edge/_connection_memory.py
@@ -55,6 +55,19 @@
             self.held_back = True
             self.connection.pause()
 
+    def refuse_waiting(self) -> None:
+        """Refuse a complete request that has to wait, if the account takes no more.
+
+        One read can bring thousands of them, each of which occupies far more than was
+        received.
+        """
+        self.measure()
+        account = self.account
+        is_full = self.connection.waiting.is_full()
+        if account.is_under_pressure() if is_full else account.is_exhausted():
+            account.refused += 1
+            self.connection.refusal = codes.ResultCode.NODE_MEMORY_FULL
+
     def measure(self) -> None:
         """Enter what is held in the account."""
         connection, holder = self.connection, self.holder
--- a/src/jujubetiller/edge/_pipelined_connection.py
+++ b/src/jujubetiller/edge/_pipelined_connection.py
@@ -110,6 +110,10 @@
         self.framing_bytes = 0
         if self.refusal is not None:
             return
+        if self.has_to_wait() and self.memory is not None:
+            self.memory.refuse_waiting()
+            if self.refusal is not None:
+                return
         exchange = _exchange.Exchange(
             self.parser.get_method(), self.parser.should_keep_alive()
         )
@@ -125,13 +129,17 @@
         self, exchange: _exchange.Exchange, message: _waiting_requests.Message
     ) -> None:
         """Start a request, or keep it while ``pipeline_depth`` others are running."""
-        if len(self.requests) < self.factory.pipeline_depth:
+        if not self.has_to_wait():
             self.start(exchange, message)
             return
         self.waiting.append(exchange, message)
         if self.waiting.is_full():
             self.pause()
 
+    def has_to_wait(self) -> bool:
+        """Return whether the next request has to wait for earlier ones."""
+        return len(self.requests) >= self.factory.pipeline_depth
+
     def start(
         self,
         exchange: _exchange.Exchange,
@@ -213,7 +221,7 @@
             return
         self.is_starting = True
         try:
-            while self.waiting and len(self.requests) < self.factory.pipeline_depth:
+            while self.waiting and not self.has_to_wait():
                 self.start(*self.waiting.pop())
         finally:
             self.is_starting = False
--- a/src/jujubetiller/edge/_request_reader.py
+++ b/src/jujubetiller/edge/_request_reader.py
@@ -123,6 +123,7 @@
         self.head_is_complete = True
         self.head_started_ms = None
         self.framing_bytes = 0
+        self.refuse_many_headers()
         self.continue_is_due = self.expects_continue and self.refusal is None
         if self.continue_is_due:
             self.send_continue()
@@ -144,7 +145,19 @@
     def refuse_large(self) -> None:
         """Refuse the request if the account takes no new large ones."""
         account = self.factory.account
-        if account is not None and self.refusal is None and account.refuses_large():
+        if account is not None and account.refuses_large():
+            self.refuse_for_memory(account)
+
+    def refuse_many_headers(self) -> None:
+        """Refuse the request if the account takes no more of such heads."""
+        account = self.factory.account
+        is_small = HEADER_COST_BYTES * len(self.headers) <= memory.SMALL_BYTES
+        if account is not None and not is_small and account.is_under_pressure():
+            self.refuse_for_memory(account)
+
+    def refuse_for_memory(self, account: memory.MemoryAccount) -> None:
+        """Refuse the request, unless it is refused already."""
+        if self.refusal is None:
             account.refused += 1
             self.refusal = codes.ResultCode.NODE_MEMORY_FULL
 
--- a/tests/edge/test_memory.py
+++ b/tests/edge/test_memory.py
@@ -78,6 +78,48 @@
     assert connection.transport.producerState == "producing"
 
 
+def test_requests_that_wait_are_refused_above_the_first_threshold() -> None:
+    """Guards against one read that brings thousands of small requests."""
+    listener = make_listener()
+    fill(listener, 0.6)
+    connection = listener.connect()
+    request = b"GET /booth/a HTTP/1.1\r\nHost: x\r\n\r\n"
+    connection.receive(request * 1_700)
+    account = listener.factory.account  # type: ignore[attr-defined]
+    assert account.total_bytes() < 0.7 * LIMIT_BYTES
+    answered = 0
+    while answered < len(listener.handler.replies):
+        listener.handler.replies[answered](edge.EdgeReply(200, [], b"done"))
+        answered += 1
+    output = connection.read_output()
+    assert output.count("HTTP/1.1 200 ") == answered == len(listener.handler.messages)
+    assert output.count("HTTP/1.1 503 ") == 1 and FULL in output
+    assert connection.transport.disconnecting
+
+
+def test_requests_that_wait_are_kept_while_little_is_held() -> None:
+    listener = make_listener()
+    connection = listener.connect()
+    connection.receive(b"GET /booth/a HTTP/1.1\r\nHost: x\r\n\r\n" * 200)
+    for number in range(200):
+        listener.handler.replies[number](edge.EdgeReply(200, [], b"done"))
+    assert connection.read_output().count("HTTP/1.1 200 ") == 200
+
+
+@pytest.mark.parametrize(("share", "status"), [(0.4, 200), (0.6, 503)])
+def test_a_request_with_many_headers_is_refused_above_the_first_threshold(
+    share: float, status: int
+) -> None:
+    listener = make_listener()
+    fill(listener, share)
+    connection = listener.connect()
+    connection.request(headers="a: b\r\n" * 1_000)
+    for reply in listener.handler.replies:
+        reply(edge.EdgeReply(200, [], b"done"))
+    assert connection.read_output().startswith(f"HTTP/1.1 {status} ")
+    assert len(listener.handler.messages) == (status == 200)
+
+
 @pytest.mark.parametrize("headers", [LENGTH, CHUNKED])
 def test_a_large_request_is_refused_above_the_second_threshold(headers: str) -> None:
     listener = make_listener()
