Write logs without waiting for their reader

Cause: each line was written and flushed in the event loop, and a write to a full pipe blocks.

Change: a line is written only in parts that a descriptor takes without blocking: up to PIPE_BUF bytes while poll reports it as writable. Up to 1 MB of lines waits for the reader, the rest is dropped and counted, in the next line (dropped) and in the metric logs. The descriptor stays in blocking mode, as other processes may share it.

--- a/src/jujubetiller/logs/_json_lines_handler.py
+++ b/src/jujubetiller/logs/_json_lines_handler.py
@@ -2,11 +2,11 @@
 
 import datetime
 import json
-from typing import IO, Any
+from typing import Any
 
 import logbook
 
-from jujubetiller.logs import _message_rate_limiter
+from jujubetiller.logs import _line_output, _message_rate_limiter
 
 
 class JsonLinesHandler(logbook.Handler):  # type: ignore[misc]
@@ -14,19 +14,24 @@
 
     The fields are ``time`` (UTC), ``level``, ``channel``, ``message``, the fields
     that the caller passed as ``extra``, ``error`` with a traceback if there is one,
-    and ``suppressed`` with the number of messages of the same kind that were
-    suppressed since the last one that was written.
+    ``suppressed`` with the number of messages of the same kind that were
+    suppressed since the last one that was written, and ``dropped`` with the number of
+    all lines that the output has dropped since then.
     """
 
     def __init__(
         self,
-        stream: IO[str],
+        output: _line_output.LineOutput,
         rate_limiter: _message_rate_limiter.MessageRateLimiter,
         level: str,
     ) -> None:
         super().__init__(level=logbook.lookup_level(level.upper()), bubble=False)
-        self.stream = stream
+        self.output = output
         self.rate_limiter = rate_limiter
+        self.dropped = 0
+        """Lines dropped since the last one that was written."""
+
+        self.dropped_total = 0
 
     def emit(self, record: Any) -> None:
         """Write ``record`` unless the rate limit suppresses it."""
@@ -45,5 +50,10 @@
             document["error"] = record.formatted_exception
         if suppressed:
             document["suppressed"] = suppressed
-        self.stream.write(json.dumps(document, default=str) + "\n")
-        self.stream.flush()
+        if self.dropped:
+            document["dropped"] = self.dropped
+        if self.output.write_line(json.dumps(document, default=str)):
+            self.dropped = 0
+        else:
+            self.dropped += 1
+            self.dropped_total += 1
--- a/src/jujubetiller/mesh/_run.py
+++ b/src/jujubetiller/mesh/_run.py
@@ -12,7 +12,7 @@
 from twisted.internet import error
 
 from jujubetiller import clock, logs, memory, published, reactors, settings
-from jujubetiller.mesh import _header_names, _mesh_node, _settings_file
+from jujubetiller.mesh import _header_names, _log_output, _mesh_node, _settings_file
 
 _LOG = logbook.Logger("jujubetiller.mesh")
 
@@ -44,7 +44,7 @@
     from twisted.internet import reactor as installed_reactor
 
     twisted_reactor: Any = installed_reactor
-    logs.start_logging(node_settings.logs, time_source, sys.stdout)
+    log_handler = logs.start_logging(node_settings.logs, time_source, sys.stdout)
     memory.return_freed_memory()
     # Seeded by the operating system; SystemRandom would make a system call each time.
     random_source = random.Random(secrets.randbits(SEED_BITS))
@@ -59,6 +59,7 @@
             twisted_reactor, time_source, random_source, node_settings.store, state
         ),
     )
+    _log_output.LogOutput(twisted_reactor, log_handler, node.parts.metrics).start()
     try:
         node.start()
     except error.CannotListenError as failure:
@@ -77,4 +78,5 @@
     gc.enable()
     twisted_reactor.addSystemEventTrigger("before", "shutdown", node.drain)
     twisted_reactor.run()
+    log_handler.output.flush()
     return 0
--- a/src/jujubetiller/node/_counter_groups.py
+++ b/src/jujubetiller/node/_counter_groups.py
@@ -183,9 +183,12 @@
 
 
 def make_log_group(handler: logs.JsonLinesHandler) -> metrics.CounterGroup:
-    """Return the counter of suppressed log messages."""
+    """Return the counters of log messages that were left out."""
     return metrics.CounterGroup(
         "logs",
-        "Log messages left out because they repeated too often.",
-        lambda: {"suppressed": handler.rate_limiter.suppressed_total},
+        "Log messages left out: repeated too often, or not taken by the reader.",
+        lambda: {
+            "suppressed": handler.rate_limiter.suppressed_total,
+            "dropped": handler.dropped_total,
+        },
     )
--- a/tests/bench/test_configuration_page.py
+++ b/tests/bench/test_configuration_page.py
@@ -73,7 +73,7 @@
 def test_every_named_source_in_the_file_is_read() -> None:
     """Guards against a page that names fields which the platform's file has not."""
     tables: dict[str, dict[str, str]] = {"bounds": {}, "limits": {}}
-    samples = {"strict_revoke": "true", "memory_mb": "301"}
+    samples = {"strict_revoke": "true", "memory_mb": "301", "max_fds": "301"}
     for source in configuration_page.SOURCES.values():
         table, _, name = source.strip("`").partition(".")
         if table in tables:
--- a/tests/bench/test_operations_page.py
+++ b/tests/bench/test_operations_page.py
@@ -16,7 +16,9 @@
     # A complete node, so that the counters of its components are compared too.
     node_metrics = local_fleet.Fleet().nodes["gate-1"].parts.metrics
     rate_limiter = logs.MessageRateLimiter(clock.ManualClock(), highest=1, kinds=1)
-    handler = logs.JsonLinesHandler(io.StringIO(), rate_limiter, "info")
+    handler = logs.JsonLinesHandler(
+        logs.StreamOutput(io.StringIO()), rate_limiter, "info"
+    )
     node_metrics.export([_counter_groups.make_log_group(handler)])
     exported = re.findall(
         r"^# HELP (jujubetiller_\w+)", node_metrics.render().decode(), re.MULTILINE
--- a/tests/logs/test_logs.py
+++ b/tests/logs/test_logs.py
@@ -15,7 +15,7 @@
 ) -> tuple[logs.JsonLinesHandler, io.StringIO]:
     stream = io.StringIO()
     rate_limiter = logs.MessageRateLimiter(time_source, highest=2, kinds=kinds)
-    return logs.JsonLinesHandler(stream, rate_limiter, level), stream
+    return logs.JsonLinesHandler(logs.StreamOutput(stream), rate_limiter, level), stream
 
 
 def test_each_line_is_json_from_the_level_on() -> None:
--- a/tests/node/test_counter_export.py
+++ b/tests/node/test_counter_export.py
@@ -143,7 +143,9 @@
 
 def test_suppressed_log_messages_are_exported() -> None:
     rate_limiter = logs.MessageRateLimiter(clock.ManualClock(), highest=1, kinds=1)
-    handler = logs.JsonLinesHandler(io.StringIO(), rate_limiter, "info")
+    handler = logs.JsonLinesHandler(
+        logs.StreamOutput(io.StringIO()), rate_limiter, "info"
+    )
     node_metrics = metrics.NodeMetrics()
     node_metrics.export([_counter_groups.make_log_group(handler)])
     assert [rate_limiter.admit("same") for _ in range(3)] == [0, None, None]
