--- a/src/jujubetiller/frames/_frame_decoder.py
+++ b/src/jujubetiller/frames/_frame_decoder.py
@@ -19,8 +19,13 @@
     frame starts is no longer certain.
     """
 
-    def __init__(self, max_frame_bytes: int) -> None:
+    def __init__(
+        self, max_frame_bytes: int, max_first_bytes: int | None = None
+    ) -> None:
         self.max_frame_bytes = max_frame_bytes
+        self.max_first_bytes = max_first_bytes or max_frame_bytes
+        """Limit on the first frame, as long as the sender is unknown."""
+
         self.frame_count = 0
 
         self.control_bytes = 0
@@ -39,11 +44,12 @@
         start, end = 0, len(data)
         while end - start >= _LENGTH_BYTES:
             (length,) = _unpack_length(data, start)
-            if length > self.max_frame_bytes:
+            highest = self.max_frame_bytes if self.frame_count else self.max_first_bytes
+            if length > highest:
                 self.problem = codes.Problem(
                     codes.ResultCode.BAD_FRAME,
                     "length",
-                    f"allowed are at most {self.max_frame_bytes} bytes, got {length}",
+                    f"allowed are at most {highest} bytes, got {length}",
                 )
                 break
             frame_end = start + _LENGTH_BYTES + length
--- a/src/jujubetiller/streams/_peer_stream.py
+++ b/src/jujubetiller/streams/_peer_stream.py
@@ -22,6 +22,9 @@
 UNUSED = 0
 """Code in GOAWAY when a stream without work is closed."""
 
+MAX_HELLO_BYTES = 4_096
+"""Longest HELLO. Until it has arrived, anybody may have opened the connection."""
+
 _GOAWAY_REASONS = {
     code.value: f"goaway_{code.name.lower()}" for code in codes.ResultCode
 }
@@ -64,7 +67,9 @@
         self.writer = _frame_writer.FrameWriter(
             context.encoder, context.statistics, context.settings.max_unsent_bytes
         )
-        self.decoder = frames.FrameDecoder(context.settings.max_frame_bytes)
+        self.decoder = frames.FrameDecoder(
+            context.settings.max_frame_bytes, MAX_HELLO_BYTES
+        )
         self.opened_at_ms = context.clock.now_ms()
         self.used_at_ms = self.opened_at_ms
         self.ping_number = 0
