Count the bytes that wait for connections that are not read

Callers saw nothing on a machine that only counts resident memory. On the platform bytes that were received and not read count towards the memory of a process: 400 clients with bodies held 31 MB there, 202 MB in all of 200.

Cause: a connection that is held back is not read, and what the system had received for it was counted nowhere. Connections that are not read were closed only after 4 s.

Change: the account has a kind unread, 64 KB for each connection when its reading stops, and what FIONREAD tells at each check. At the limit connections that are held back are closed, the longest without progress first.

In test_memory_account.py the list of kinds has one more, which is 0.

--- a/src/jujubetiller/edge/_connection_memory.py
+++ b/src/jujubetiller/edge/_connection_memory.py
@@ -10,6 +10,10 @@
 MIN_COUNTED_BYTES = 2_048
 """A connection that holds less is not entered in the account."""
 
+UNREAD_BYTES = 65_536
+"""What the system is taken to hold for a connection when its reading stops, until that
+is known."""
+
 MIN_PROGRESS_BYTES = 4_096
 """A client that sends or takes less makes no progress."""
 
@@ -54,6 +58,7 @@
             self.account.paused += 1
             self.held_back = True
             self.connection.pause()
+            holder.set(memory.Kind.UNREAD, UNREAD_BYTES)
 
     def refuse_waiting(self) -> None:
         """Refuse a complete request that has to wait, if the account takes no more.
@@ -85,7 +90,10 @@
         holder.set(memory.Kind.READING, reading)
         holder.set(memory.Kind.REQUESTS, requests)
         holder.set(memory.Kind.ANSWERS, answers)
-        if self.held_back and not reading:
+        if not self.held_back:
+            return
+        holder.set(memory.Kind.UNREAD, transports.count_unread(connection.transport))
+        if not reading:
             # Relief resumes only connections that are entered in the account.
             self.resume_reading()
 
@@ -113,6 +121,7 @@
     def resume_reading(self) -> None:
         """Read a connection that is held back."""
         self.held_back = False
+        self.holder.set(memory.Kind.UNREAD, 0)
         self.holder.record_progress()
         if not self.connection.waiting.is_full():
             self.connection.resume()
--- a/src/jujubetiller/memory/_holder.py
+++ b/src/jujubetiller/memory/_holder.py
@@ -20,6 +20,9 @@
     ANSWERS = "answers"
     """Answers that a client has not taken."""
 
+    UNREAD = "unread"
+    """Bytes that the system holds until a connection that is held back is read."""
+
 
 class HolderOwner(abc.ABC):
     """A connection that holds memory."""
--- a/src/jujubetiller/memory/_relief.py
+++ b/src/jujubetiller/memory/_relief.py
@@ -22,6 +22,8 @@
                 holder.owner.measure()
         if account.is_under_pressure():
             self._close_stalled()
+        if account.is_exhausted():
+            self._close_held_back()
         if account.is_under_pressure():
             self._choose_privileged()
             return
@@ -40,6 +42,24 @@
             account.closed += 1
             holder.owner.close_for_memory()
 
+    def _close_held_back(self) -> None:
+        """Close connections that are not read until the sum is below the limit.
+
+        The bytes that the system holds for them cannot be refused.
+        """
+        account = self.account
+        held_back = [
+            holder
+            for holder in account.holders
+            if holder.owner is not None and holder.owner.is_held_back()
+        ]
+        for holder in sorted(held_back, key=lambda holder: holder.progress_ms):
+            if not account.is_exhausted():
+                return
+            assert holder.owner is not None
+            account.closed += 1
+            holder.owner.close_for_memory()
+
     def _choose_privileged(self) -> None:
         privileged = self.privileged
         if privileged is not None and privileged.held[_holder.Kind.READING]:
--- a/src/jujubetiller/transports/__init__.py
+++ b/src/jujubetiller/transports/__init__.py
@@ -2,9 +2,16 @@
 
 from jujubetiller.transports._body_producer import (
     BodyProducer,
+    count_unread,
     count_unsent,
     sends_in_parts,
 )
 from jujubetiller.transports._send_now import send_now
 
-__all__ = ["BodyProducer", "count_unsent", "send_now", "sends_in_parts"]
+__all__ = [
+    "BodyProducer",
+    "count_unread",
+    "count_unsent",
+    "send_now",
+    "sends_in_parts",
+]
--- a/src/jujubetiller/transports/_body_producer.py
+++ b/src/jujubetiller/transports/_body_producer.py
@@ -1,9 +1,13 @@
 """Sending of large bodies in parts."""
 
+import array
+import contextlib
+import fcntl
+import termios
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import abstract, interfaces
+from twisted.internet import abstract, interfaces, tcp
 from zope.interface import implementer
 
 PART_BYTES = 65_536
@@ -66,6 +70,19 @@
     )
 
 
+def count_unread(transport: Any) -> int:
+    """Return the bytes that the system has received for ``transport``.
+
+    The result is 0 for a transport that is not a socket, or if the system can't tell.
+    """
+    if not isinstance(transport, tcp.Connection) or not transport.connected:
+        return 0
+    count = array.array("i", [0])
+    with contextlib.suppress(OSError):
+        fcntl.ioctl(transport.fileno(), termios.FIONREAD, count)
+    return count[0]
+
+
 def count_unsent(transport: Any) -> int:
     """Return the bytes that ``transport`` has not sent yet."""
     if not isinstance(transport, abstract.FileDescriptor):
--- a/tests/edge/test_memory.py
+++ b/tests/edge/test_memory.py
@@ -164,6 +164,22 @@
     assert len(listener.handler.messages[0].body) == BODY_BYTES
 
 
+def test_bytes_that_wait_for_a_connection_that_is_not_read_are_counted() -> None:
+    listener = make_listener()
+    account = listener.factory.account  # type: ignore[attr-defined]
+    holder = fill(listener, 0.55)
+    connection = listener.connect()
+    connection.request(headers=LENGTH, method="POST")
+    while connection.transport.producerState == "producing":
+        assert account.held[memory.Kind.UNREAD] == 0
+        connection.receive(PART)
+    assert account.held[memory.Kind.UNREAD] == 65_536
+    holder.set(memory.Kind.READING, 0)
+    memory.Relief(account).check()
+    assert connection.transport.producerState == "producing"
+    assert account.held[memory.Kind.UNREAD] == 0
+
+
 @pytest.mark.parametrize("running", [0, 8])
 def test_a_client_that_stops_short_is_refused_and_its_memory_is_freed(
     running: int,
--- a/tests/memory/test_memory_account.py
+++ b/tests/memory/test_memory_account.py
@@ -5,7 +5,7 @@
 from jujubetiller import clock, memory
 
 LIMIT_BYTES = 10_000_000
-READING, REQUESTS, ANSWERS = memory.Kind
+READING, REQUESTS, ANSWERS, UNREAD = memory.Kind
 
 
 class Owner(memory.HolderOwner):
@@ -66,6 +66,7 @@
         "reading": 1_000,
         "requests": 700,
         "answers": 500,
+        "unread": 0,
         "peers": 40,
         "peer_answers": 2,
     }
@@ -144,3 +145,15 @@
 @pytest.mark.parametrize(("limit_mb", "expected_mb"), [(64, 16), (200, 144)])
 def test_the_limit_leaves_what_a_node_needs(limit_mb: int, expected_mb: int) -> None:
     assert memory.find_limit_bytes(limit_mb) == expected_mb * 1_048_576
+
+
+def test_connections_that_are_not_read_are_closed_at_the_limit() -> None:
+    """Guards against bytes that the system holds for connections that are not read."""
+    crowd = Crowd(4, 1_000_000)
+    for owner in crowd.owners[1:]:
+        owner.held_back = True
+        owner.holder.set(UNREAD, 3_000_000)
+    crowd.relief.check()
+    assert crowd.closed() == [1]
+    assert crowd.account.total_bytes() < LIMIT_BYTES
+    assert crowd.account.closed == 1
--- a/tests/mesh/hostile_clients.py
+++ b/tests/mesh/hostile_clients.py
@@ -18,6 +18,10 @@
 HEAD = b"POST /get/1 HTTP/1.1\r\nHost: a.example\r\n"
 
 
+_LISTENING = "0A"
+"""State in ``/proc/net/tcp``, where the queue is one of connections."""
+
+
 class Crowd:
     """Connections that stay open until the crowd is closed."""
 
@@ -79,12 +83,34 @@
 
 def read_peak_mb(node: mesh_site.MeshProcess) -> float:
     """Return the highest resident memory of the process so far."""
+    return _read_status_mb(node, "VmHWM")
+
+
+def read_resident_mb(node: mesh_site.MeshProcess) -> float:
+    """Return the resident memory of the process."""
+    return _read_status_mb(node, "VmRSS")
+
+
+def _read_status_mb(node: mesh_site.MeshProcess, field: str) -> float:
     status = pathlib.Path(f"/proc/{node.process.pid}/status").read_text()
-    found = re.search(r"VmHWM:\s+(\d+) kB", status)
+    found = re.search(rf"{field}:\s+(\d+) kB", status)
     assert found is not None
     return int(found.group(1)) / 1024.0
 
 
+def read_unread_mb(node: mesh_site.MeshProcess, listener: str) -> float:
+    """Return what the system holds for a listener's connections until it is read."""
+    port = node.ports + mesh_site.OFFSETS[listener]
+    octets = reversed(node.host.split("."))
+    local = "".join(f"{int(octet):02X}" for octet in octets) + f":{port:04X}"
+    unread_bytes = 0
+    for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        _, address, _, state, queues, *_ = line.split()
+        if address == local and state != _LISTENING:
+            unread_bytes += int(queues.partition(":")[2], 16)
+    return unread_bytes / 1_048_576
+
+
 def count_sockets(node: mesh_site.MeshProcess) -> int:
     """Return the number of open sockets of the process."""
     number = 0
