Keep the account's limit lowered until the memory is returned

Callers saw: a request of 64 MB after a crowd had left took a node to 202 MB of 200, and a crowd with bodies to 236 MB.

Cause: the limit followed the resident memory only while much was held. After a crowd it went back at once, so the next one was admitted beside what the first had left, until the check 100 ms later. Freed memory was not returned either if that had been tried within 2 s.

Change: the limit stays lowered until the memory that is not counted has fallen, and freed memory is returned once more after a crowd.

--- a/src/jujubetiller/memory/_resident_limit.py
+++ b/src/jujubetiller/memory/_resident_limit.py
@@ -30,7 +30,12 @@
         self.uncounted_bytes = 0
         """Resident memory that the account did not count at the latest check."""
 
-        self.is_watching = False
+        self.holds_much = False
+        """Whether more than ``WATCHED_SHARE`` was held at the latest check."""
+
+        self.returns_later = False
+        """Whether freed memory is to be returned although little is held by now."""
+
         self.returned_at_ms: float | None = None
         """When freed memory was last returned."""
 
@@ -38,18 +43,18 @@
         """Set the account's limit; the process may use ``limit_mb`` MB."""
         account = self.account
         highest_bytes = _memory_account.find_limit_bytes(limit_mb)
-        was_watching = self.is_watching
-        self.is_watching = account.total_bytes() > WATCHED_SHARE * highest_bytes
-        account.limit_bytes = highest_bytes
-        if not (self.is_watching or was_watching):
+        held_much = self.holds_much
+        self.holds_much = account.total_bytes() > WATCHED_SHARE * highest_bytes
+        self.returns_later |= held_much and not self.holds_much
+        if self.holds_much or self.returns_later:
+            self.return_if_due()
+        elif self.uncounted_bytes <= _memory_account.OWN_BYTES:
+            account.limit_bytes = highest_bytes
             return
-        self.return_if_due()
-        uncounted_bytes = self.read_uncounted()
-        if uncounted_bytes is not None:
-            self.uncounted_bytes = uncounted_bytes
-            left_bytes = limit_mb * _memory_account.MB - uncounted_bytes - MARGIN_BYTES
-            lowest_bytes = _memory_account.MIN_LIMIT_BYTES
-            account.limit_bytes = max(lowest_bytes, min(highest_bytes, left_bytes))
+        self.uncounted_bytes = self.read_uncounted() or 0
+        left_bytes = limit_mb * _memory_account.MB - self.uncounted_bytes - MARGIN_BYTES
+        lowest_bytes = _memory_account.MIN_LIMIT_BYTES
+        account.limit_bytes = max(lowest_bytes, min(highest_bytes, left_bytes))
 
     def return_if_due(self) -> None:
         """Return freed memory if more is resident than a node needs by itself."""
@@ -57,6 +62,7 @@
         returned_at_ms = self.returned_at_ms
         if returned_at_ms is not None and now_ms < returned_at_ms + RETURN_INTERVAL_MS:
             return
+        self.returns_later = False
         uncounted_bytes = self.read_uncounted()
         if uncounted_bytes is not None and uncounted_bytes > _memory_account.OWN_BYTES:
             self.returned_at_ms = now_ms
