Leave unread bytes out of the comparison with the resident memory

Nobody has seen it: by reading. The account counts bytes that the system holds for connections that are not read. They are not resident, so the comparison found less uncounted memory than there is, by up to what is unread, and left the limit too high. They are left out now; the new test fails before (126 MB of limit instead of 96).

--- a/src/jujubetiller/memory/_resident_limit.py
+++ b/src/jujubetiller/memory/_resident_limit.py
@@ -1,6 +1,6 @@
 """A limit of the account that follows the resident memory."""
 
-from jujubetiller.memory import _memory_account, _process_memory
+from jujubetiller.memory import _holder, _memory_account, _process_memory
 
 WATCHED_SHARE = 0.25
 """Part of the account's limit above which the resident memory is watched."""
@@ -73,4 +73,7 @@
         resident_bytes = self.process.read_resident_bytes()
         if resident_bytes is None:
             return None
-        return max(0, resident_bytes - self.account.total_bytes())
+        account = self.account
+        # Unread bytes are memory of the system, not of the process.
+        counted_bytes = account.total_bytes() - account.held[_holder.Kind.UNREAD]
+        return max(0, resident_bytes - counted_bytes)
--- a/tests/memory/test_resident_limit.py
+++ b/tests/memory/test_resident_limit.py
@@ -108,3 +108,9 @@
         node.clock.advance(100)
         node.check(0, 160)
     assert node.process.returned == 2
+
+
+def test_unread_bytes_are_not_taken_for_memory_of_the_process() -> None:
+    node = Node()
+    node.account.add(memory.Kind.UNREAD, 30 * MB)
+    assert node.check(60, 160) == 100 - MARGIN_MB
