--- a/tests/mesh/hostile_clients.py
+++ b/tests/mesh/hostile_clients.py
@@ -6,7 +6,7 @@
 import pathlib
 import re
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 from standins import mesh_site
 
@@ -22,6 +22,21 @@
 """State in ``/proc/net/tcp``, where the queue is one of connections."""
 
 
+@contextlib.contextmanager
+def start_site(
+    folder: pathlib.Path, max_body_bytes: int | None = None, **limits: int
+) -> Iterator[mesh_site.LocalMeshSite]:
+    """Run a site whose nodes have ``limits``, as they stand in their settings."""
+    with contextlib.ExitStack() as stack:
+        site = mesh_site.LocalMeshSite(folder, stack)
+        lines = [f"{name} = {value}\n" for name, value in limits.items()]
+        site.extra_settings = "".join(("[limits]\n", *lines))
+        if max_body_bytes is not None:
+            site.request_limits = {"max_body_bytes": max_body_bytes}
+        site.start()
+        yield site
+
+
 class Crowd:
     """Connections that stay open until the crowd is closed."""
 
--- a/tests/mesh/test_hostile_connections.py
+++ b/tests/mesh/test_hostile_connections.py
@@ -30,12 +30,9 @@
 
 @pytest.fixture
 def site(tmp_path: pathlib.Path) -> Iterator[mesh_site.LocalMeshSite]:
-    with contextlib.ExitStack() as stack:
-        started = mesh_site.LocalMeshSite(tmp_path, stack)
-        started.extra_settings = (
-            f"[limits]\nmemory_mb = {MEMORY_MB}\nmax_fds = {MAX_FDS}\n"
-        )
-        started.start()
+    with hostile_clients.start_site(
+        tmp_path, memory_mb=MEMORY_MB, max_fds=MAX_FDS
+    ) as started:
         yield started
 
 
--- a/tests/mesh/test_hostile_listeners.py
+++ b/tests/mesh/test_hostile_listeners.py
@@ -27,11 +27,9 @@
 
 @pytest.fixture
 def site(tmp_path: pathlib.Path) -> Iterator[mesh_site.LocalMeshSite]:
-    with contextlib.ExitStack() as stack:
-        started = mesh_site.LocalMeshSite(tmp_path, stack)
-        started.extra_settings = f"[limits]\nmemory_mb = {MEMORY_MB}\n"
-        started.request_limits = {"max_body_bytes": MAX_BODY_BYTES}
-        started.start()
+    with hostile_clients.start_site(
+        tmp_path, MAX_BODY_BYTES, memory_mb=MEMORY_MB
+    ) as started:
         yield started
 
 
--- a/tests/mesh/test_large_single_requests.py
+++ b/tests/mesh/test_large_single_requests.py
@@ -30,10 +30,7 @@
 
 @pytest.fixture
 def site(tmp_path: pathlib.Path) -> Iterator[mesh_site.LocalMeshSite]:
-    with contextlib.ExitStack() as stack:
-        started = mesh_site.LocalMeshSite(tmp_path, stack)
-        started.extra_settings = f"[limits]\nmemory_mb = {MEMORY_MB}\n"
-        started.start()
+    with hostile_clients.start_site(tmp_path, memory_mb=MEMORY_MB) as started:
         yield started
 
 
